Follow RFC 9112 at the listener; apply the operator's bounds for callers

Cause: probing the daemon showed that HTTP/1.1 without Host was served, a target in absolute form found no route, a bad chunk size ended in a reset and a late header in silence. The operator's header, body and time bounds were decoded but not applied, so that a body of unknown length was bounded by the service's limit only. A body that a caller broke off counted as a failure of the endpoint. Held responses counted only while they were read.

Change: impl/RequestCheck judges Host, CONNECT and the target's form; a late header is answered with 408 by a timer that does not close the socket. Bodies that cannot be read get the reasons malformed-body and caller-failed, which say nothing of the endpoint. HttpServer::SetLimits takes the bounds of the configuration in force. HeldBytes counts a held body until it is dropped.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	@cmake --build $(BUILD) -j $(JOBS)
 
 test: build
-	@ctest --test-dir $(BUILD) --output-on-failure -j 4
+	@scripts/run-tests $(BUILD) -j 4
 
 DEPLOYMENT ?= temple-andino
 
--- a/packages/daemon/include/hemlockproxy/daemon/EntryService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/EntryService.h
@@ -92,6 +92,8 @@
   [[nodiscard]] UpstreamReply Admit(runtime::HttpExchange& aExchange,
                                     const TrafficView& aView,
                                     Call& aCall);
+  /// Reads the body's first part and runs the attempts.
+  [[nodiscard]] UpstreamReply Run(runtime::HttpExchange& aExchange, Call& aCall);
   [[nodiscard]] UpstreamReply RunAttempts(Call& aCall);
   [[nodiscard]] UpstreamReply RunKeyed(runtime::HttpExchange& aExchange, Call& aCall);
   /// Makes one attempt and decides whether another may follow; waits for the backoff before it
--- a/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
@@ -79,6 +79,8 @@
   void HandleCaller(runtime::HttpExchange& aExchange);
   void HandleForwarded(runtime::HttpExchange& aExchange);
   void RejectLeaving(runtime::HttpExchange& aExchange);
+  /// Bounds the callers' requests as the configuration in force says.
+  void ApplyCallerLimits();
   void Main();
 
   runtime::IoContextPtr io_;
@@ -94,6 +96,8 @@
   std::vector<std::unique_ptr<runtime::HttpServer>> desks_;
   bool spin_ = true;
   std::atomic<std::size_t> inProgress_{ 0 };
+  /// The limits that are set on callerServer_.
+  model::CallerLimits callerLimits_;
   std::atomic<decisions::DrainState> drainState_{ decisions::DrainState::Serving };
   std::atomic<bool> stopping_{ false };
   std::chrono::milliseconds stopLimit_{ 0 };
--- a/packages/daemon/src/Delivery.cpp
+++ b/packages/daemon/src/Delivery.cpp
@@ -21,13 +21,16 @@
 
 /// Statuses of reasons that differ from the outcome's usual one. A status that says that a request
 /// has not run stands for that outcome only.
-constexpr std::array<ReasonStatus, 8> kReasonStatuses = { {
+constexpr std::array<ReasonStatus, 11> kReasonStatuses = { {
   { RequestOutcome::NotRun, RefusalReason::NoRoute, http::status::not_found },
   { RequestOutcome::NotRun, RefusalReason::RateLimited, http::status::too_many_requests },
   { RequestOutcome::NotRun, RefusalReason::KeyRequired, http::status::bad_request },
   { RequestOutcome::NotRun, RefusalReason::KeyMismatch, http::status::unprocessable_entity },
   { RequestOutcome::NotRun, RefusalReason::BodyTooLarge, http::status::payload_too_large },
   { RequestOutcome::Unknown, RefusalReason::BodyTooLarge, http::status::payload_too_large },
+  { RequestOutcome::NotRun, RefusalReason::MalformedBody, http::status::bad_request },
+  { RequestOutcome::Unknown, RefusalReason::MalformedBody, http::status::bad_request },
+  { RequestOutcome::NotRun, RefusalReason::CallerFailed, http::status::bad_request },
   { RequestOutcome::Unknown, RefusalReason::AlreadyClaimed, http::status::conflict },
   { RequestOutcome::Unknown, RefusalReason::UpstreamTimeout, http::status::gateway_timeout },
 } };
@@ -59,7 +62,9 @@
   return std::min(std::chrono::milliseconds(value), aMost);
 }
 
-bool ReadPrefix(runtime::HttpExchange& aExchange, std::string& aPrefix, std::size_t aLimit)
+runtime::HttpResult<model::Unit> ReadPrefix(runtime::HttpExchange& aExchange,
+                                            std::string& aPrefix,
+                                            std::size_t aLimit)
 {
   while (!aExchange.BodyDone() && aPrefix.size() < aLimit) {
     const std::size_t held = aPrefix.size();
@@ -67,10 +72,22 @@
     auto read = aExchange.Read(aPrefix.data() + held, aPrefix.size() - held);
     aPrefix.resize(held + (read ? *read : 0));
     if (!read) {
-      return false;
+      return read.Error();
     }
   }
-  return true;
+  return model::Unit{};
+}
+
+model::RefusalReason ReasonOfBody(const runtime::HttpError& aError) noexcept
+{
+  switch (aError.kind_) {
+    case runtime::HttpErrorKind::Malformed:
+      return RefusalReason::MalformedBody;
+    case runtime::HttpErrorKind::BodyTooLarge:
+      return RefusalReason::BodyTooLarge;
+    default:
+      return RefusalReason::CallerFailed;
+  }
 }
 
 bool MayComeBack(const UpstreamReply& aReply)
--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -80,6 +80,9 @@
   UpstreamRequest request_;
   /// The body after prefix_; nothing when the body is held whole.
   std::optional<TrackedBody> rest_;
+  std::optional<impl::LimitedBody> limited_;
+  /// The longest request body, in bytes.
+  std::uint64_t bodyLimit_ = 0;
   std::string prefix_;
   CancelSource cancel_;
   decisions::Repeatable repeatable_ = decisions::Repeatable::No;
@@ -256,8 +259,11 @@
   const auto resource = content.find(target);
   const model::LimitSet limits =
     resource == content.end() ? model::LimitSet{} : resource->second->config_.limits_;
-  const std::uint64_t bodyLimit = model::EffectiveLimit(limits, model::LimitKind::BodyBytes);
-  if (const auto length = aExchange.BodyLength(); length && *length > bodyLimit) {
+  aCall.bodyLimit_ = model::EffectiveLimit(limits, model::LimitKind::BodyBytes);
+  if (const auto most = aView.routes_->Configuration().callerLimits_.bodyBytes_; most > 0) {
+    aCall.bodyLimit_ = std::min(aCall.bodyLimit_, most);
+  }
+  if (const auto length = aExchange.BodyLength(); length && *length > aCall.bodyLimit_) {
     return Refused(RequestOutcome::NotRun, RefusalReason::BodyTooLarge);
   }
   if (rule.keyRequired_ && received[kKeyField].empty()) {
@@ -299,25 +305,33 @@
     Conclude(aExchange, call, Refused(RequestOutcome::NotRun, RefusalReason::QueueFull));
     return;
   }
-  if (impl::ReadPrefix(aExchange, call.prefix_, kReplayBytes)) {
-    if (!aExchange.BodyDone()) {
-      call.rest_.emplace(aExchange);
-    }
-    aExchange.OnCallerClosed([&call] { call.cancel_.Cancel(); });
-    call.request_.cancel_ = &call.cancel_;
-    call.target_->retries_->CountRequest(call.started_);
-    call.state_.repeatable_ = call.repeatable_;
-    call.state_.deadline_ = call.request_.deadline_;
-    call.state_.attempts_ = 0;
-    const bool keyed = options_.keyed_ && call.repeatable_ == decisions::Repeatable::No &&
-                       !aExchange.Request()[kKeyField].empty();
-    Conclude(aExchange, call, keyed ? RunKeyed(aExchange, call) : RunAttempts(call));
-  } else {
-    aExchange.Abort();
-  }
+  Conclude(aExchange, call, Run(aExchange, call));
   gate_.Leave(service);
 }
 
+UpstreamReply EntryService::Run(runtime::HttpExchange& aExchange, Call& aCall)
+{
+  if (auto read = impl::ReadPrefix(aExchange, aCall.prefix_, kReplayBytes); !read) {
+    return Refused(RequestOutcome::NotRun, impl::ReasonOfBody(read.Error()));
+  }
+  if (aCall.prefix_.size() > aCall.bodyLimit_) {
+    return Refused(RequestOutcome::NotRun, RefusalReason::BodyTooLarge);
+  }
+  if (!aExchange.BodyDone()) {
+    aCall.limited_.emplace(aExchange, aCall.bodyLimit_ - aCall.prefix_.size());
+    aCall.rest_.emplace(*aCall.limited_);
+  }
+  aExchange.OnCallerClosed([&aCall] { aCall.cancel_.Cancel(); });
+  aCall.request_.cancel_ = &aCall.cancel_;
+  aCall.target_->retries_->CountRequest(aCall.started_);
+  aCall.state_.repeatable_ = aCall.repeatable_;
+  aCall.state_.deadline_ = aCall.request_.deadline_;
+  aCall.state_.attempts_ = 0;
+  const bool keyed = options_.keyed_ && aCall.repeatable_ == decisions::Repeatable::No &&
+                     !aExchange.Request()[kKeyField].empty();
+  return keyed ? RunKeyed(aExchange, aCall) : RunAttempts(aCall);
+}
+
 UpstreamReply EntryService::RunAttempts(Call& aCall)
 {
   while (true) {
--- a/packages/daemon/src/HttpUpstream.cpp
+++ b/packages/daemon/src/HttpUpstream.cpp
@@ -1,5 +1,7 @@
 #include "hemlockproxy/daemon/HttpUpstream.h"
 
+#include "impl/Delivery.h"
+
 #include <array>
 
 namespace hemlockproxy::daemon {
@@ -100,11 +102,17 @@
       }
     }
     if (auto sent = StreamBody(); !sent) {
-      return ResponseAfterFailedSend(sent.Error());
+      return sourceError_ ? *sourceError_ : ResponseAfterFailedSend(sent.Error());
     }
     return ReadFinalHeader();
   }
 
+  /// Returns why the request's body could not be read, if that ended the exchange.
+  [[nodiscard]] const std::optional<HttpError>& SourceError() const noexcept
+  {
+    return sourceError_;
+  }
+
 private:
   HttpResult<Unit> StreamBody()
   {
@@ -117,6 +125,7 @@
       if (!read) {
         // The upstream must not take a truncated body for a whole one.
         connection_.Close();
+        sourceError_ = read.Error();
         return read.Error();
       }
       if (*read == 0) {
@@ -152,6 +161,7 @@
   runtime::HttpConnection& connection_;
   UpstreamRequest& request_;
   const ExchangeOptions& options_;
+  std::optional<HttpError> sourceError_;
 };
 
 RefusalReason ReasonOf(const HttpError& aError)
@@ -159,8 +169,6 @@
   switch (aError.kind_) {
     case HttpErrorKind::TimedOut:
       return RefusalReason::UpstreamTimeout;
-    case HttpErrorKind::BodyTooLarge:
-      return RefusalReason::BodyTooLarge;
     default:
       return RefusalReason::UpstreamFailed;
   }
@@ -208,13 +216,15 @@
     }
     aRequest.cancel_->SetAction([raw = connection.get()] { raw->Close(); });
   }
-  auto header = Exchange(*connection, aRequest, aOptions).Run();
+  Exchange exchange(*connection, aRequest, aOptions);
+  auto header = exchange.Run();
   if (!header) {
     if (aRequest.cancel_ != nullptr) {
       aRequest.cancel_->SetAction({});
     }
     return Refused(connection->AnySent() ? RequestOutcome::Unknown : RequestOutcome::NotRun,
-                   ReasonOf(header.Error()));
+                   exchange.SourceError() ? impl::ReasonOfBody(*exchange.SourceError())
+                                          : ReasonOf(header.Error()));
   }
   if (aOptions.dialect_ != nullptr) {
     const BackendResponse response = aOptions.dialect_->ReadBackendResponse(*header, aRequest.id_);
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -3,6 +3,7 @@
 #include "hemlockproxy/wire/QuarantineCodec.h"
 
 #include "impl/Delivery.h"
+#include "impl/EntryBodies.h"
 #include "impl/HeldBody.h"
 #include "impl/RequestLog.h"
 
@@ -32,34 +33,6 @@
 /// A process that ends closes its connections one by one, and its listener may be among the last.
 constexpr std::chrono::milliseconds kCrashProbeDelay{ 20 };
 
-/// Rejects a body that grows beyond the limit.
-class LimitedBody final : public runtime::BodySource
-{
-public:
-  LimitedBody(runtime::BodySource& aSource, std::uint64_t aLimit) noexcept
-    : source_(aSource)
-    , left_(aLimit)
-  {
-  }
-
-  [[nodiscard]] HttpResult<std::size_t> Read(char* aBuffer, std::size_t aSize) override
-  {
-    auto read = source_.Read(aBuffer, aSize);
-    if (read && *read > left_) {
-      return runtime::HttpError{ runtime::HttpErrorKind::BodyTooLarge,
-                                 "the request body exceeds body_bytes" };
-    }
-    if (read) {
-      left_ -= *read;
-    }
-    return read;
-  }
-
-private:
-  runtime::BodySource& source_;
-  std::uint64_t left_;
-};
-
 model::LimitSet LimitsOf(const TrafficView& aView, const model::ServiceName& aService)
 {
   if (!aView.routes_) {
@@ -392,14 +365,13 @@
       std::make_unique<AdmittedBody>(*this, aId, aBackend.address_, std::move(aReply.body_));
     return aReply;
   }
-  heldBytes_ += *length;
+  impl::HeldBytes held(heldBytes_, *length);
   aReply.body_->SetStallTimeout(TimeLeft(aRequest.deadline_));
   auto body = impl::ReadWhole(*aReply.body_, *length);
-  heldBytes_ -= *length;
   aReply.body_.reset();
   if (body) {
     Finish(aId, FinishKind::Completed);
-    aReply.body_ = std::make_unique<impl::HeldBody>(*std::move(body));
+    aReply.body_ = std::make_unique<impl::HeldBody>(*std::move(body), std::move(held));
     return aReply;
   }
   UpstreamReply failed =
@@ -451,7 +423,7 @@
       admission_->ExpectedWait(std::chrono::steady_clock::now(), aRequest.work_.priority_);
     return reply;
   }
-  std::optional<LimitedBody> limited;
+  std::optional<impl::LimitedBody> limited;
   if (aRequest.rest_ != nullptr) {
     limited.emplace(*aRequest.rest_, bodyLimit - aRequest.body_.size());
     aRequest.rest_ = &*limited;
@@ -515,9 +487,12 @@
   request.cancel_ = &cancel;
   std::string prefix;
   const bool waitsForContinue = received.find(http::field::expect) != received.end();
-  if (!waitsForContinue && !impl::ReadPrefix(aExchange, prefix, kReplayBytes)) {
-    aExchange.Abort();
-    return;
+  if (!waitsForContinue) {
+    if (auto read = impl::ReadPrefix(aExchange, prefix, kReplayBytes); !read) {
+      impl::SendRefusal(aExchange,
+                        Refused(RequestOutcome::NotRun, impl::ReasonOfBody(read.Error())));
+      return;
+    }
   }
   request.body_ = prefix;
   request.rest_ = aExchange.BodyDone() ? nullptr : &aExchange;
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -182,6 +182,17 @@
                     Refused(model::RequestOutcome::NotRun, model::RefusalReason::Leaving));
 }
 
+void TrafficThread::ApplyCallerLimits()
+{
+  const auto routes = views_.Load()->routes_;
+  if (!routes || routes->Configuration().callerLimits_ == callerLimits_) {
+    return;
+  }
+  callerLimits_ = routes->Configuration().callerLimits_;
+  callerServer_->SetLimits(
+    callerLimits_.headerBytes_, callerLimits_.headerTimeout_, callerLimits_.idleTimeout_);
+}
+
 void TrafficThread::Start()
 {
   thread_ = std::thread([this] {
@@ -225,6 +236,7 @@
   };
   while (!stopping_) {
     boost::this_fiber::sleep_for(count() > 0 ? kCountInterval : kIdleInterval);
+    ApplyCallerLimits();
     owner_.Tick();
   }
   callerServer_->Stop();
--- a/packages/daemon/src/Upstream.cpp
+++ b/packages/daemon/src/Upstream.cpp
@@ -66,7 +66,7 @@
 {
   using model::RefusalReason;
   for (auto value = static_cast<unsigned>(RefusalReason::None);
-       value <= static_cast<unsigned>(RefusalReason::OtherBackend);
+       value <= static_cast<unsigned>(model::kLastRefusalReason);
        ++value) {
     const auto reason = static_cast<RefusalReason>(value);
     if (aText == ToString(reason)) {
--- a/packages/daemon/src/impl/Delivery.h
+++ b/packages/daemon/src/impl/Delivery.h
@@ -16,11 +16,14 @@
 [[nodiscard]] std::chrono::milliseconds DeadlineOf(const runtime::RequestHeader& aHeader,
                                                    std::chrono::milliseconds aMost);
 
-/// Appends the body's first bytes to aPrefix until it holds aLimit bytes or the body ends. Returns
-/// false when the body cannot be read.
-[[nodiscard]] bool ReadPrefix(runtime::HttpExchange& aExchange,
-                              std::string& aPrefix,
-                              std::size_t aLimit);
+/// Appends the body's first bytes to aPrefix until it holds aLimit bytes or the body ends. Fails
+/// when the body cannot be read.
+[[nodiscard]] runtime::HttpResult<model::Unit> ReadPrefix(runtime::HttpExchange& aExchange,
+                                                          std::string& aPrefix,
+                                                          std::size_t aLimit);
+
+/// Returns why a request whose body cannot be read is refused.
+[[nodiscard]] model::RefusalReason ReasonOfBody(const runtime::HttpError& aError) noexcept;
 
 /// Returns whether callers are told when to come back: the request has not run, and the reason may
 /// pass.
--- a/packages/daemon/src/impl/EntryBodies.h
+++ b/packages/daemon/src/impl/EntryBodies.h
@@ -30,6 +30,35 @@
   bool used_ = false;
 };
 
+/// Rejects a request body that grows beyond a limit.
+class LimitedBody final : public runtime::BodySource
+{
+public:
+  /// Passes on at most aLimit bytes.
+  LimitedBody(runtime::BodySource& aSource, std::uint64_t aLimit) noexcept
+    : source_(aSource)
+    , left_(aLimit)
+  {
+  }
+
+  [[nodiscard]] runtime::HttpResult<std::size_t> Read(char* aBuffer, std::size_t aSize) override
+  {
+    auto read = source_.Read(aBuffer, aSize);
+    if (read && *read > left_) {
+      return runtime::HttpError{ runtime::HttpErrorKind::BodyTooLarge,
+                                 "the request body exceeds its limit" };
+    }
+    if (read) {
+      left_ -= *read;
+    }
+    return read;
+  }
+
+private:
+  runtime::BodySource& source_;
+  std::uint64_t left_;
+};
+
 /// Tells when a response body has ended, so that it counts as work in progress until then.
 class ObservedBody final : public UpstreamBody
 {
--- a/packages/daemon/src/impl/HeldBody.h
+++ b/packages/daemon/src/impl/HeldBody.h
@@ -5,15 +5,43 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace hemlockproxy::daemon::impl {
 
+/// Counts bytes as held in memory for its lifetime.
+class HeldBytes
+{
+public:
+  /// The total must live longer.
+  HeldBytes(std::size_t& aTotal, std::size_t aBytes) noexcept
+    : total_(&aTotal)
+    , bytes_(aBytes)
+  {
+    *total_ += bytes_;
+  }
+  HeldBytes(HeldBytes&& aOther) noexcept
+    : total_(aOther.total_)
+    , bytes_(std::exchange(aOther.bytes_, 0))
+  {
+  }
+  HeldBytes(const HeldBytes&) = delete;
+  HeldBytes& operator=(const HeldBytes&) = delete;
+  HeldBytes& operator=(HeldBytes&&) = delete;
+  ~HeldBytes() { *total_ -= bytes_; }
+
+private:
+  std::size_t* total_;
+  std::size_t bytes_;
+};
+
 /// A response body held in memory.
 class HeldBody final : public UpstreamBody
 {
 public:
-  explicit HeldBody(std::string aBody)
-    : body_(std::move(aBody))
+  explicit HeldBody(std::string aBody, std::optional<HeldBytes> aHeld = std::nullopt)
+    : held_(std::move(aHeld))
+    , body_(std::move(aBody))
     , left_(body_)
   {
   }
@@ -31,6 +59,7 @@
   }
 
 private:
+  std::optional<HeldBytes> held_;
   std::string body_;
   runtime::StringBody left_;
 };
--- a/packages/daemon/tests/UpstreamTest.cpp
+++ b/packages/daemon/tests/UpstreamTest.cpp
@@ -1,14 +1,121 @@
 #include "hemlockproxy/daemon/Upstream.h"
 
+#include "hemlockproxy/daemon/HttpUpstream.h"
+#include "hemlockproxy/runtime/HttpServer.h"
+
 #include "impl/Delivery.h"
+#include "impl/EntryBodies.h"
+#include "impl/HeldBody.h"
+
+#include <boost/fiber/operations.hpp>
+
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace hemlockproxy;
 using namespace hemlockproxy::daemon;
 
+namespace {
+
+/// A request body that fails after its first part.
+class FailingBody final : public runtime::BodySource
+{
+public:
+  explicit FailingBody(runtime::HttpErrorKind aKind) noexcept
+    : kind_(aKind)
+  {
+  }
+
+  [[nodiscard]] runtime::HttpResult<std::size_t> Read(char* aBuffer, std::size_t aSize) override
+  {
+    if (std::exchange(failed_, true)) {
+      return runtime::HttpError{ kind_, "the body failed" };
+    }
+    return std::string("first part").copy(aBuffer, aSize);
+  }
+
+private:
+  runtime::HttpErrorKind kind_;
+  bool failed_ = false;
+};
+
+/// Sends a request with a body of unknown length to a server that reads it to its end.
+UpstreamReply SendBody(runtime::BodySource& aBody)
+{
+  UpstreamReply reply;
+  std::thread loop([&] {
+    const auto io = std::make_shared<runtime::IoContext>(1);
+    runtime::RunFiberLoop(io, [&] {
+      const auto handle = [](runtime::HttpExchange& aExchange) {
+        std::string body;
+        if (impl::ReadPrefix(aExchange, body, 1 << 20)) {
+          (void)aExchange.SendResponse(runtime::http::status::ok, "whole");
+        }
+      };
+      auto server = runtime::HttpServer::Create(io, model::Address{ "127.0.0.1", 0 }, {}, handle);
+      (*server)->Start();
+      runtime::HttpConnectionPool pool(io, 1, std::chrono::milliseconds(1000));
+      UpstreamRequest request;
+      request.header_.version(11);
+      request.header_.method(runtime::http::verb::post);
+      request.header_.target("/");
+      request.header_.set(runtime::http::field::host, "a");
+      request.header_.set(runtime::http::field::transfer_encoding, "chunked");
+      request.deadline_ = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+      request.rest_ = &aBody;
+      reply = RunExchange(pool, (*server)->LocalAddress(), request, {});
+      reply.body_.reset();
+      (*server)->Stop();
+    });
+  });
+  loop.join();
+  return reply;
+}
+
+} // namespace
+
 TEST_GROUP(Upstream){};
 
+// Guards against a caller's broken body that is taken for a failure of the backend server, and
+// against a truncated body that the server takes for a whole one.
+TEST(Upstream, TellsTheCallersFaultFromTheBackendServers)
+{
+  using runtime::HttpErrorKind;
+  FailingBody broken(HttpErrorKind::Broken);
+  const UpstreamReply cut = SendBody(broken);
+  CHECK_TRUE(cut.outcome_ == model::RequestOutcome::Unknown);
+  CHECK_TRUE(cut.reason_ == model::RefusalReason::CallerFailed);
+
+  FailingBody malformed(HttpErrorKind::Malformed);
+  CHECK_TRUE(SendBody(malformed).reason_ == model::RefusalReason::MalformedBody);
+}
+
+// Guards against a body of unknown length that passes the limit.
+TEST(Upstream, LimitsABodyOfUnknownLength)
+{
+  const std::string whole(1000, 'x');
+  runtime::StringBody atLimit(whole);
+  impl::LimitedBody passes(atLimit, whole.size());
+  CHECK_TRUE(SendBody(passes).outcome_ == model::RequestOutcome::Answered);
+
+  runtime::StringBody tooLong(whole);
+  impl::LimitedBody fails(tooLong, whole.size() - 1);
+  CHECK_TRUE(SendBody(fails).reason_ == model::RefusalReason::BodyTooLarge);
+}
+
+// Guards against held responses that no longer count while callers read them slowly.
+TEST(Upstream, CountsAHeldBodyUntilItIsDropped)
+{
+  std::size_t total = 0;
+  {
+    impl::HeldBytes held(total, 5);
+    const impl::HeldBody body("12345", std::move(held));
+    UNSIGNED_LONGS_EQUAL(5, total);
+  }
+  UNSIGNED_LONGS_EQUAL(0, total);
+}
+
 // Guards against a caller or backend server that forges an outcome.
 TEST(Upstream, RemovesAllHemlockFields)
 {
@@ -28,6 +135,7 @@
 {
   CHECK_TRUE(ParseReason("queue-full") == model::RefusalReason::QueueFull);
   CHECK_TRUE(ParseReason("quarantined") == model::RefusalReason::Quarantined);
+  CHECK_TRUE(ParseReason("caller-failed") == model::RefusalReason::CallerFailed);
   CHECK_TRUE(ParseReason("no such reason") == model::RefusalReason::UpstreamFailed);
 }
 
--- a/packages/decisions/src/AttemptResult.cpp
+++ b/packages/decisions/src/AttemptResult.cpp
@@ -9,6 +9,11 @@
                             RefusalReason aReason,
                             ResponseKind aResponse) noexcept
 {
+  if (aReason == RefusalReason::MalformedBody || aReason == RefusalReason::CallerFailed ||
+      aReason == RefusalReason::BodyTooLarge) {
+    // The caller's fault says nothing of the endpoint.
+    return AttemptVerdict::Cancelled;
+  }
   if (aOutcome == RequestOutcome::Unknown) {
     return AttemptVerdict::Failure;
   }
--- a/packages/decisions/src/RetryPolicy.cpp
+++ b/packages/decisions/src/RetryPolicy.cpp
@@ -31,6 +31,8 @@
     case RefusalReason::AlreadyClaimed:
     case RefusalReason::Quarantined:
     case RefusalReason::BodyTooLarge:
+    case RefusalReason::MalformedBody:
+    case RefusalReason::CallerFailed:
       return true;
     default:
       return false;
--- a/packages/decisions/tests/OutlierEjectionTest.cpp
+++ b/packages/decisions/tests/OutlierEjectionTest.cpp
@@ -131,6 +131,17 @@
                                                      ResponseKind::ServerError));
 }
 
+// Guards against an endpoint that is blamed for request bodies that callers never complete.
+TEST(OutlierEjection, TheCallersFaultsDoNotCount)
+{
+  for (const RefusalReason reason :
+       { RefusalReason::MalformedBody, RefusalReason::CallerFailed, RefusalReason::BodyTooLarge }) {
+    for (const RequestOutcome outcome : { RequestOutcome::NotRun, RequestOutcome::Unknown }) {
+      CHECK_TRUE(AttemptVerdict::Cancelled == JudgeAttempt(outcome, reason, ResponseKind::Normal));
+    }
+  }
+}
+
 // Guards against ejection of so many endpoints that the rest is overloaded.
 TEST(OutlierEjection, TheShareIsCapped)
 {
--- a/packages/model/include/hemlockproxy/model/RequestOutcome.h
+++ b/packages/model/include/hemlockproxy/model/RequestOutcome.h
@@ -40,8 +40,15 @@
   BackendRefused,
   /// Another backend server has taken the address.
   OtherBackend,
+  /// The request's body is not valid HTTP.
+  MalformedBody,
+  /// The caller's connection broke or stalled while the body was read.
+  CallerFailed,
 };
 
+/// The last value, for loops over all reasons.
+inline constexpr RefusalReason kLastRefusalReason = RefusalReason::CallerFailed;
+
 /// Returns the reason as sent in headers, such as "queue-full".
 [[nodiscard]] const char* ToString(RefusalReason aReason) noexcept;
 
--- a/packages/model/src/RequestOutcome.cpp
+++ b/packages/model/src/RequestOutcome.cpp
@@ -43,6 +43,10 @@
       return "backend-refused";
     case RefusalReason::OtherBackend:
       return "other-backend";
+    case RefusalReason::MalformedBody:
+      return "malformed-body";
+    case RefusalReason::CallerFailed:
+      return "caller-failed";
   }
   return "unknown";
 }
--- a/packages/runtime/include/hemlockproxy/runtime/HttpServer.h
+++ b/packages/runtime/include/hemlockproxy/runtime/HttpServer.h
@@ -80,6 +80,10 @@
 
   /// Starts to accept; called on the loop's thread.
   virtual void Start() = 0;
+  /// Sets bounds of HttpServerOptions for the requests that follow; called on the loop's thread.
+  virtual void SetLimits(std::uint32_t aHeaderBytes,
+                         std::chrono::milliseconds aHeaderTimeout,
+                         std::chrono::milliseconds aIdleTimeout) = 0;
   /// Stops accepting and closes connections that hold no request; exchanges in progress go on, and
   /// their connections are closed after the response.
   virtual void Stop() = 0;
--- a/packages/runtime/src/HttpServer.cpp
+++ b/packages/runtime/src/HttpServer.cpp
@@ -1,7 +1,9 @@
 #include "hemlockproxy/runtime/HttpServer.h"
 
 #include "impl/HttpStream.h"
+#include "impl/RequestCheck.h"
 
+#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include <set>
@@ -218,6 +220,10 @@
   }
 
 private:
+  using Timer = impl::asio::basic_waitable_timer<std::chrono::steady_clock,
+                                                 impl::asio::wait_traits<std::chrono::steady_clock>,
+                                                 IoContext::executor_type>;
+
   bool ReadRequest()
   {
     parser_.emplace();
@@ -229,12 +235,12 @@
     if (buffer_.size() == 0 && !WaitForFirstByte()) {
       return false;
     }
-    stream_.expires_after(shared_->options_.headerTimeout_);
-    const auto done = impl::Await([&](auto aHandler) {
-      http::async_read_header(stream_, buffer_, *parser_, std::move(aHandler));
-    });
-    if (done.error_) {
-      RejectMalformed(impl::ToHttpError(done.error_));
+    if (const auto failed = ReadHeader(); failed) {
+      RejectUnread(*failed);
+      return false;
+    }
+    if (const auto problem = impl::CheckRequest(parser_->get().base()); problem) {
+      Reject(*problem);
       return false;
     }
     body_.Start(*parser_);
@@ -255,22 +261,66 @@
     return !done.error_;
   }
 
-  void RejectMalformed(const HttpError& aError)
+  /// Reads the header within its time. The timer only cancels the read: the stream's own timeout
+  /// closes the socket, after which the caller could not be told.
+  std::optional<HttpError> ReadHeader()
   {
-    http::status status = http::status::bad_request;
-    if (aError.kind_ == HttpErrorKind::HeaderTooLarge) {
-      status = http::status::request_header_fields_too_large;
-    } else if (aError.kind_ != HttpErrorKind::Malformed) {
-      return;
+    bool timedOut = false;
+    Timer timer(stream_.get_executor(), shared_->options_.headerTimeout_);
+    stream_.expires_never();
+    boost::fibers::promise<void> timerEnded;
+    timer.async_wait([&](const boost::system::error_code& aError) {
+      if (!aError) {
+        timedOut = true;
+        stream_.cancel();
+      }
+      timerEnded.set_value();
+    });
+    const auto done = impl::Await([&](auto aHandler) {
+      http::async_read_header(stream_, buffer_, *parser_, std::move(aHandler));
+    });
+    timer.cancel();
+    timerEnded.get_future().wait();
+    if (!done.error_) {
+      return std::nullopt;
+    }
+    if (timedOut) {
+      return HttpError{ HttpErrorKind::TimedOut, "the request header did not arrive in time" };
     }
-    http::response<http::string_body> response(status, 11);
+    return impl::ToHttpError(done.error_);
+  }
+
+  /// Answers a request whose header cannot be read, unless the caller has gone.
+  void RejectUnread(const HttpError& aError)
+  {
+    switch (aError.kind_) {
+      case HttpErrorKind::HeaderTooLarge:
+        Reject({ http::status::request_header_fields_too_large, aError.message_ });
+        return;
+      case HttpErrorKind::TimedOut:
+        Reject({ http::status::request_timeout, aError.message_ });
+        return;
+      case HttpErrorKind::Malformed:
+        Reject({ http::status::bad_request, aError.message_ });
+        return;
+      default:
+        return;
+    }
+  }
+
+  /// Sends a response of the server's own, after which the connection is closed: what follows on it
+  /// may be a part of the rejected request.
+  void Reject(const impl::RequestProblem& aProblem)
+  {
+    http::response<http::string_body> response(aProblem.status_, 11);
     response.set("Hemlock-Outcome", "not-run");
-    response.body() = aError.message_ + "\n";
+    response.body() = aProblem.message_ + "\n";
     response.keep_alive(false);
     response.prepare_payload();
     stream_.expires_after(shared_->options_.stallTimeout_);
     (void)impl::Await(
       [&](auto aHandler) { http::async_write(stream_, response, std::move(aHandler)); });
+    rejected_ = true;
   }
 
   HttpResult<Unit> Write()
@@ -347,7 +397,7 @@
   {
     constexpr std::size_t kMaxDiscardedBytes = 1024UL * 1024;
     constexpr std::chrono::milliseconds kDiscardTimeout{ 500 };
-    if (!parser_ || BodyDone()) {
+    if (!parser_ || (BodyDone() && !rejected_)) {
       return;
     }
     std::vector<char> discarded(kBodyPartBytes);
@@ -380,6 +430,7 @@
   bool aborted_ = false;
   bool idle_ = false;
   bool firstRead_ = false;
+  bool rejected_ = false;
   bool waiting_ = false;
 };
 
@@ -430,6 +481,15 @@
     });
   }
 
+  void SetLimits(std::uint32_t aHeaderBytes,
+                 std::chrono::milliseconds aHeaderTimeout,
+                 std::chrono::milliseconds aIdleTimeout) override
+  {
+    shared_->options_.headerBytes_ = aHeaderBytes;
+    shared_->options_.headerTimeout_ = aHeaderTimeout;
+    shared_->options_.idleTimeout_ = aIdleTimeout;
+  }
+
   void Stop() override
   {
     AcceptPending();
--- a/packages/testing/tests/TestLoadTest.cpp
+++ b/packages/testing/tests/TestLoadTest.cpp
@@ -45,6 +45,19 @@
     }
     return figures;
   }
+  /// Checks one figure; a failure shows all of them, since a request that is missing here is counted
+  /// elsewhere.
+  static void CheckFigure(const std::map<std::string, long>& aFigures,
+                          const std::string& aName,
+                          long aExpected)
+  {
+    const auto found = aFigures.find(aName);
+    std::string all;
+    for (const auto& [name, value] : aFigures) {
+      all += name + "=" + std::to_string(value) + " ";
+    }
+    LONGS_EQUAL_TEXT(aExpected, found == aFigures.end() ? 0 : found->second, all.c_str());
+  }
   std::string Runs(const std::string& aQuery)
   {
     return Reply(HttpGet(backend_.Listening(), "/runs" + aQuery)).body_;
@@ -66,9 +79,9 @@
                        "--body-bytes=64",
                        "--path=/echo" });
   LONGS_EQUAL(0, exitCode_);
-  LONGS_EQUAL(200, figures["sent"]);
-  LONGS_EQUAL(200, figures["answered"]);
-  LONGS_EQUAL(0, figures["corrupted"]);
+  CheckFigure(figures, "sent", 200);
+  CheckFigure(figures, "answered", 200);
+  CheckFigure(figures, "corrupted", 0);
   CHECK_TRUE(figures["answered-p50"] <= figures["answered-max"]);
   const std::string runs = Runs("");
   LONGS_EQUAL(200, std::count(runs.begin(), runs.end(), '\n'));
@@ -79,7 +92,7 @@
 TEST(TestLoad, CountsLatencyFromTheIntendedSendTime)
 {
   auto figures = Run({ "--rate=100", "--duration-ms=200", "--connections=1", "--path=/delay/30" });
-  LONGS_EQUAL(20, figures["answered"]);
+  CheckFigure(figures, "answered", 20);
   // Twenty requests of 30 ms on one connection: the last ends 600 ms after the start, 410 ms after
   // its intended time.
   CHECK_TRUE(figures["answered-max"] >= 400'000);
@@ -90,13 +103,13 @@
 {
   SetFaults("cut=1&next=5&match=bytes");
   auto figures = Run({ "--rate=100", "--duration-ms=100" });
-  LONGS_EQUAL(10, figures["sent"]);
-  LONGS_EQUAL(5, figures["unknown"]);
-  LONGS_EQUAL(5, figures["answered"]);
+  CheckFigure(figures, "sent", 10);
+  CheckFigure(figures, "unknown", 5);
+  CheckFigure(figures, "answered", 5);
   backend_.Kill();
   figures = Run({ "--rate=100", "--duration-ms=100" });
-  LONGS_EQUAL(10, figures["not-run"]);
-  LONGS_EQUAL(10, figures["reason-connect-failed"]);
+  CheckFigure(figures, "not-run", 10);
+  CheckFigure(figures, "reason-connect-failed", 10);
 }
 
 // Guards against refusals and used-up deadlines that are told apart wrongly in overload figures.
@@ -107,14 +120,14 @@
                        "--path=/delay/400",
                        "--deadline-ms=150",
                        "--timeout-ms=200" });
-  LONGS_EQUAL(10, figures["unknown"]);
-  LONGS_EQUAL(10, figures["deadline-used"]);
-  LONGS_EQUAL(0, figures["not-run-within-50ms"]);
+  CheckFigure(figures, "unknown", 10);
+  CheckFigure(figures, "deadline-used", 10);
+  CheckFigure(figures, "not-run-within-50ms", 0);
   backend_.Kill();
   figures = Run({ "--rate=100", "--duration-ms=100", "--deadline-ms=150" });
-  LONGS_EQUAL(10, figures["not-run"]);
-  LONGS_EQUAL(10, figures["not-run-within-50ms"]);
-  LONGS_EQUAL(0, figures["deadline-used"]);
+  CheckFigure(figures, "not-run", 10);
+  CheckFigure(figures, "not-run-within-50ms", 10);
+  CheckFigure(figures, "deadline-used", 0);
 }
 
 // Guards against repeats that use a new key, so that a second run would go unnoticed.
@@ -128,8 +141,8 @@
                        "--repeats=1",
                        "--method=POST",
                        "--target=" + ToString(other.Listening()) });
-  LONGS_EQUAL(5, figures["answered"]);
-  LONGS_EQUAL(2, figures["repeats"]);
+  CheckFigure(figures, "answered", 5);
+  CheckFigure(figures, "repeats", 2);
   STRCMP_EQUAL("load-key-1 1\nload-key-3 1\n", Runs("").c_str());
   CHECK_TRUE(Reply(HttpGet(other.Listening(), "/runs")).body_.find("load-key-3 1") !=
              std::string::npos);
@@ -140,8 +153,8 @@
 {
   SetFaults("stall=1");
   auto figures = Run({ "--rate=50", "--duration-ms=100", "--timeout-ms=200" });
-  LONGS_EQUAL(5, figures["unknown"]);
-  LONGS_EQUAL(5, figures["reason-timeout"]);
+  CheckFigure(figures, "unknown", 5);
+  CheckFigure(figures, "reason-timeout", 5);
 }
 
 // Guards against a foreign or truncated response that passes as the request's own.
