Take forwards until the handover when a daemon stops

Entries also left an endpoint alone for 5 s after a rejection as leaving, up to 2 s longer than the restart took. Ruled out: slow starts (0.65 s from the end to the first line). The drain limit counted from the end of the notice, so that a stop could outlast the platform's grace time by 2 s.

Change: Drain has the state HandingOver, 400 ms before the end of the notice; until then forwards are accepted and the member record does not say leaving. The member table's word that an endpoint is back ends its leaving hold. The drain limit counts from the stop signal.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -19,10 +19,15 @@
 
 constexpr std::size_t kEvents = 4096;
 constexpr std::chrono::milliseconds kShutdownPoll{ 20 };
-/// The news that this daemon leaves reaches the other daemons within this time, as a ping is sent
-/// each second. The listeners stay open meanwhile, so that late requests are rejected as not run
+/// Callers that ask each second whether the daemon is ready have heard twice within this time that
+/// it is not. The listeners stay open meanwhile, so that late requests are rejected as not run
 /// rather than refused a connection.
 constexpr std::chrono::milliseconds kLeavingNotice{ 2000 };
+/// The member record reaches the other daemons directly, in some round trips between failure
+/// domains; an entry that misses it is told by the first rejection.
+constexpr std::chrono::milliseconds kHandOver{ 400 };
+/// Kept of the drain limit for the end of the process itself.
+constexpr std::chrono::milliseconds kEndMargin{ 250 };
 
 /// How long the end of the process waits for lines of the structured log to be written.
 constexpr std::chrono::milliseconds kLastLines{ 200 };
@@ -44,7 +49,10 @@
     , admin_(std::move(aAdmin))
     , signals_(*aIo, SIGTERM, SIGINT, SIGHUP)
     , drain_(*decisions::Drain::Create(
-        { .notice_ = kLeavingNotice, .limit_ = kLeavingNotice + aSettings.drainLimit_ }))
+        { .notice_ = kLeavingNotice,
+          .handOver_ = kHandOver,
+          .limit_ = std::max<std::chrono::milliseconds>(kLeavingNotice,
+                                                        aSettings.drainLimit_ - kEndMargin) }))
   {
   }
 
@@ -131,9 +139,9 @@
   {
     // In the order of decisions::DrainAction.
     static constexpr std::array<void (Supervisor::*)(), 8> kActions = {
-      &Supervisor::AnnounceLeaving, &Supervisor::ShareState,      &Supervisor::ShareState,
-      &Supervisor::ShareState,      &Supervisor::CloseListeners,  &Supervisor::LeaveMembership,
-      &Supervisor::ExitClean,       &Supervisor::ExitInterrupted,
+      &Supervisor::ShareState, &Supervisor::AnnounceLeaving, &Supervisor::ShareState,
+      &Supervisor::ShareState, &Supervisor::CloseListeners,  &Supervisor::LeaveMembership,
+      &Supervisor::ExitClean,  &Supervisor::ExitInterrupted,
     };
     for (const decisions::DrainAction action : aActions) {
       (this->*kActions[static_cast<std::size_t>(action)])();
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -159,7 +159,7 @@
   if (state != decisions::DrainState::Serving) {
     aExchange.CloseAfterResponse();
   }
-  if (state == decisions::DrainState::Serving || state == decisions::DrainState::Leaving) {
+  if (decisions::AcceptsCallers(state)) {
     entry_.Handle(aExchange);
   } else {
     RejectLeaving(aExchange);
@@ -171,7 +171,7 @@
   if (impl::AnswerProbe(aExchange)) {
     return;
   }
-  if (drainState_ == decisions::DrainState::Serving) {
+  if (decisions::AcceptsForwards(drainState_)) {
     owner_.HandleForwarded(aExchange);
   } else {
     RejectLeaving(aExchange);
--- a/packages/decisions/include/hemlockproxy/decisions/Drain.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Drain.h
@@ -14,10 +14,12 @@
 
 struct DrainOptions
 {
-  /// How long the daemon still forwards its callers' requests to other endpoints and keeps its
-  /// listeners open, so that entries and callers hear that it leaves before connections are
-  /// refused.
+  /// How long callers' requests are still served after the stop signal, so that callers hear that
+  /// the daemon leaves before it rejects them.
   std::chrono::milliseconds notice_{ 2000 };
+  /// The last part of the notice, in which entries hear that the daemon leaves. Forwards are
+  /// accepted until then: the backend server may stay, and would have no work.
+  std::chrono::milliseconds handOver_{ 400 };
   /// The longest wait for requests in progress, from the stop signal on.
   std::chrono::milliseconds limit_{ 30000 };
 };
@@ -30,23 +32,35 @@
 enum class DrainState : std::uint8_t
 {
   Serving,
-  /// Forwards from entries are rejected; callers' requests still go to other endpoints.
+  /// Callers are told to connect elsewhere; everything is still accepted.
   Leaving,
+  /// Forwards from entries are rejected; callers' requests still go to other endpoints.
+  HandingOver,
   /// All new requests are rejected; requests in progress go on.
   Finishing,
   /// The process is to end.
   Ended,
 };
 
+[[nodiscard]] constexpr bool AcceptsForwards(DrainState aState) noexcept
+{
+  return aState == DrainState::Serving || aState == DrainState::Leaving;
+}
+
+[[nodiscard]] constexpr bool AcceptsCallers(DrainState aState) noexcept
+{
+  return AcceptsForwards(aState) || aState == DrainState::HandingOver;
+}
+
 /// What the daemon has to do, in this order.
 enum class DrainAction : std::uint8_t
 {
+  /// Add "Connection: close" to responses, so that callers connect elsewhere.
+  CloseIdleConnections,
   /// Mark the own member record as leaving and send it.
   AnnounceLeaving,
   /// Admission::StartDraining; reject forwards as not run with reason Leaving.
   RejectForwards,
-  /// Add "Connection: close" to responses, so that callers connect elsewhere.
-  CloseIdleConnections,
   /// Reject callers' requests as not run with reason Leaving; the listeners stay open.
   RejectCallers,
   CloseListeners,
@@ -65,7 +79,7 @@
 class Drain
 {
 public:
-  /// Fails when the limit is shorter than the notice.
+  /// Fails when the limit is shorter than the notice, or the notice than the handover.
   [[nodiscard]] static model::Result<Drain, DrainError> Create(DrainOptions aOptions);
 
   /// A stop signal. The second one ends the process at once.
@@ -74,11 +88,6 @@
   [[nodiscard]] std::vector<DrainAction> Tick(model::TimePoint aNow, std::size_t aInProgress);
 
   [[nodiscard]] DrainState State() const noexcept { return state_; }
-  [[nodiscard]] bool AcceptsForwards() const noexcept { return state_ == DrainState::Serving; }
-  [[nodiscard]] bool AcceptsCallers() const noexcept
-  {
-    return state_ == DrainState::Serving || state_ == DrainState::Leaving;
-  }
   /// Returns when Tick has something to do even if no work ends.
   [[nodiscard]] std::optional<model::TimePoint> NextTick() const noexcept;
 
@@ -89,6 +98,10 @@
   }
 
   void End(std::size_t aInProgress, std::vector<DrainAction>& aActions);
+  [[nodiscard]] model::TimePoint HandOverAt() const noexcept
+  {
+    return stoppedAt_ + options_.notice_ - options_.handOver_;
+  }
 
   DrainOptions options_;
   DrainState state_ = DrainState::Serving;
--- a/packages/decisions/src/Drain.cpp
+++ b/packages/decisions/src/Drain.cpp
@@ -6,7 +6,10 @@
 
 model::Result<Drain, DrainError> Drain::Create(DrainOptions aOptions)
 {
-  if (aOptions.notice_.count() < 0 || aOptions.limit_ < aOptions.notice_) {
+  if (aOptions.handOver_.count() < 0 || aOptions.notice_ < aOptions.handOver_) {
+    return DrainError{ "drain notice: expected at least the handover period" };
+  }
+  if (aOptions.limit_ < aOptions.notice_) {
     return DrainError{ "drain limit: expected at least the notice period" };
   }
   return Drain(aOptions);
@@ -18,9 +21,7 @@
   if (state_ == DrainState::Serving) {
     state_ = DrainState::Leaving;
     stoppedAt_ = aNow;
-    actions = { DrainAction::AnnounceLeaving,
-                DrainAction::RejectForwards,
-                DrainAction::CloseIdleConnections };
+    actions = { DrainAction::CloseIdleConnections };
   } else if (state_ != DrainState::Ended) {
     End(aInProgress, actions);
   }
@@ -30,7 +31,11 @@
 std::vector<DrainAction> Drain::Tick(TimePoint aNow, std::size_t aInProgress)
 {
   std::vector<DrainAction> actions;
-  if (state_ == DrainState::Leaving && aNow >= stoppedAt_ + options_.notice_) {
+  if (state_ == DrainState::Leaving && aNow >= HandOverAt()) {
+    state_ = DrainState::HandingOver;
+    actions = { DrainAction::AnnounceLeaving, DrainAction::RejectForwards };
+  }
+  if (state_ == DrainState::HandingOver && aNow >= stoppedAt_ + options_.notice_) {
     state_ = DrainState::Finishing;
     actions.push_back(DrainAction::RejectCallers);
   }
@@ -53,6 +58,8 @@
 {
   switch (state_) {
     case DrainState::Leaving:
+      return HandOverAt();
+    case DrainState::HandingOver:
       return stoppedAt_ + options_.notice_;
     case DrainState::Finishing:
       return stoppedAt_ + options_.limit_;
--- a/packages/decisions/src/EndpointChooser.cpp
+++ b/packages/decisions/src/EndpointChooser.cpp
@@ -81,6 +81,10 @@
   for (const EndpointEntry& entry : aEndpoints) {
     const auto known = states_.find(entry.id_);
     State state = known == states_.end() ? MakeState(aNow, entry) : std::move(known->second);
+    if (entry.takesWork_ && !state.entry_.takesWork_) {
+      // The member table knew that the endpoint was leaving, and now knows that it is back.
+      state.leavingUntil_ = {};
+    }
     state.entry_ = entry;
     next.insert_or_assign(entry.id_, std::move(state));
     ids.push_back(entry.id_);
--- a/packages/decisions/tests/EndpointChooserTest.cpp
+++ b/packages/decisions/tests/EndpointChooserTest.cpp
@@ -105,6 +105,19 @@
   CHECK_TRUE(Spread(5000, 40)["x"] > 0);
 }
 
+// Guards against an endpoint that is left alone after its daemon has restarted.
+TEST(EndpointChooserOneDomain, AnEndpointThatReturnsIsChosenAtOnce)
+{
+  EndpointEntry x = Entry("x", "a");
+  chooser_.SetEndpoints(At(0), { x, Entry("y", "a") });
+  Finish("x", 0, AttemptVerdict::Leaving);
+  x.takesWork_ = false;
+  chooser_.SetEndpoints(At(100), { x, Entry("y", "a") });
+  x.takesWork_ = true;
+  chooser_.SetEndpoints(At(2000), { x, Entry("y", "a") });
+  CHECK_TRUE(Spread(2000, 40)["x"] > 0);
+}
+
 // Guards against a daemon that is cut from most others and goes on to choose them, since ejection
 // stops at less than half of the endpoints.
 TEST(EndpointChooserOneDomain, SilentEndpointsAreNotChosenHoweverMany)
