Derive the fetch time-out of configurations from the time to apply them

A fetch of a version from a peer that vanishes was only given up after 3 s, and no other fetch starts meanwhile. All other waits on the path of a version are shorter than the bound: reads of the log end after 1.2 s and 1 s and are repeated within 0.5 s, acknowledgements end after 1 s.

Change: DistributionOptions::ApplyWithin derives the time-out and the longest pause of fetches (a fifth each) and the acknowledgement limit (a half) from the setting apply_within.

Conclusion: one cause of late versions is gone; whether it was that one is not shown.

--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -26,9 +26,8 @@
 constexpr std::chrono::milliseconds kFastJoinJitter{ 100 };
 constexpr std::chrono::milliseconds kFastDigestInterval{ 1000 };
 constexpr std::chrono::milliseconds kFastReconnectInterval{ 1000 };
-/// A version may wait this share of the time in which it is to be in force for a peer to hold it.
-constexpr int kAcknowledgementShare = 2;
-/// The operator's configuration is read again after this share of that time at the latest.
+/// The operator's configuration is read again after this share of the time in which it is to be in
+/// force at the latest.
 constexpr double kReadShare = 0.6;
 
 constexpr LogTicket kConfigTicket = 1;
@@ -71,7 +70,7 @@
   options.retention_ =
     std::max(std::chrono::duration_cast<std::chrono::minutes>(aSettings.logRetention_),
              std::chrono::minutes(1));
-  options.acknowledgementLimit_ = aSettings.applyWithin_ / kAcknowledgementShare;
+  options.ApplyWithin(aSettings.applyWithin_);
   if (aSettings.interface_ == Interface::Platform) {
     // The log holds the newest configuration as one record, so that reading it first is cheap.
     options.startLogDelay_ = std::chrono::milliseconds(0);
--- a/packages/decisions/include/hemlockproxy/decisions/Distribution.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Distribution.h
@@ -60,6 +60,10 @@
 
   /// Returns the options of a profile.
   [[nodiscard]] static DistributionOptions ForProfile(Profile aProfile);
+
+  /// Sets the waits that a version may meet on its way so that it is in force within the time, also
+  /// after a peer that vanished while it was asked.
+  void ApplyWithin(std::chrono::milliseconds aTime);
 };
 
 /// Says which option is out of range.
--- a/packages/decisions/src/Distribution.cpp
+++ b/packages/decisions/src/Distribution.cpp
@@ -2,6 +2,7 @@
 
 #include "impl/DistributionEngine.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -24,6 +25,11 @@
   ProfileRow{ 1, std::chrono::milliseconds(500), std::chrono::milliseconds(3000) },
 };
 
+/// A version may wait this part of its time for a peer to hold it.
+constexpr int kAcknowledgementPart = 2;
+/// One peer may take this part of it, so that a version is fetched from a second one in time.
+constexpr int kFetchPart = 5;
+
 } // namespace
 
 DistributionOptions DistributionOptions::ForProfile(Profile aProfile)
@@ -36,6 +42,13 @@
   return options;
 }
 
+void DistributionOptions::ApplyWithin(std::chrono::milliseconds aTime)
+{
+  acknowledgementLimit_ = aTime / kAcknowledgementPart;
+  fetchTimeout_ = std::max(fetchRetry_, std::min(fetchTimeout_, aTime / kFetchPart));
+  fetchRetryMax_ = std::max(fetchRetry_, std::min(fetchRetryMax_, aTime / kFetchPart));
+}
+
 model::Result<Distribution, DistributionError> Distribution::Create(DistributionOptions aOptions)
 {
   if (aOptions.id_.Empty()) {
--- a/packages/decisions/tests/DistributionTest.cpp
+++ b/packages/decisions/tests/DistributionTest.cpp
@@ -230,6 +230,35 @@
   CHECK_TRUE(lastFetch_ == Id(3));
 }
 
+// Guards against a peer that vanishes while it is asked and holds up a version for longer than it
+// may take to be in force: with a fixed time-out of 3 s a daemon enforced an old version for 2 s
+// too long.
+TEST(DistributionFetching, AVanishedPeerDoesNotHoldUpAVersionBeyondItsTime)
+{
+  constexpr auto kApplyWithin = 2000ms;
+  options_.ApplyWithin(kApplyWithin);
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    random_ = model::RandomSource(seed);
+    distribution_.emplace(*Distribution::Create(options_));
+    (void)Count<EnforceVersion>(PeersChanged{ { { Id(1), Id(2), Id(3) }, {} } });
+    (void)Count<EnforceVersion>(VersionFloorSettled{});
+    const auto started = now_;
+    LONGS_EQUAL(1, Count<SendFetch>(NoticeReceived{ { Id(2), ConfigVersion(1), false } }));
+    (void)Count<SendFetch>(PeerVersionReported{ Id(3), ConfigVersion(1) });
+    while (Count<SendFetch>(DistributionTick{}, 10ms) == 0) {
+      CHECK_TRUE(now_ - started < kApplyWithin / 2);
+    }
+    CHECK_TRUE(lastFetch_ == Id(3));
+    LONGS_EQUAL(1, Count<EnforceVersion>(FetchResponded{ Id(3), Response(1) }));
+  }
+}
+
+TEST(DistributionFetching, ShortTimesStillGiveValidOptions)
+{
+  options_.ApplyWithin(100ms);
+  CHECK_TRUE(Distribution::Create(options_).Ok());
+}
+
 // Guards against history that expires because no checkpoint was appended in time, and against
 // all readers appending at once.
 TEST(DistributionCheckpoint, IsAppendedWhenDueUnlessAnotherWasSeen)
