--- a/packages/daemon/include/hemlockproxy/daemon/EntryService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/EntryService.h
@@ -140,6 +140,7 @@
   std::map<std::pair<std::string, std::string>, decisions::WeightedSplit> splits_;
   decisions::EntryGate gate_;
   std::unique_ptr<impl::PeerProber> prober_;
+  model::TimePoint nextFigures_{};
   /// Attempts that can be repeated elsewhere, by endpoint.
   std::multimap<model::DaemonId, Call*> repeatable_;
 };
--- a/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
@@ -104,6 +104,7 @@
                                        UpstreamRequest& aRequest,
                                        UpstreamReply aReply);
   void StartTicker();
+  [[nodiscard]] UpstreamReply Run(UpstreamRequest& aRequest);
   [[nodiscard]] UpstreamReply RunAdmitted(decisions::RequestId aId,
                                           const model::BackendReport& aBackend,
                                           UpstreamRequest& aRequest);
--- a/packages/daemon/include/hemlockproxy/daemon/PlatformThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/PlatformThread.h
@@ -88,6 +88,9 @@
   void Stop();
 
 private:
+  /// Makes a call of the log and counts its result and time.
+  template <typename Call>
+  auto Measure(const char* aName, Call&& aCall);
   void Execute(runtime::LogPort& aLog, const LogReadCommand& aCommand);
   void Execute(runtime::LogPort& aLog, const LogNewestCommand& aCommand);
   void Execute(runtime::LogPort& aLog, const LogAppendCommand& aCommand);
--- a/packages/daemon/src/AdminServer.cpp
+++ b/packages/daemon/src/AdminServer.cpp
@@ -16,18 +16,12 @@
 namespace http = runtime::http;
 constexpr std::size_t kAnnouncementBytes = 4096;
 
-const char* StateText(model::MemberState aState) noexcept
-{
-  constexpr std::array kTexts = { "alive", "suspect", "dead", "left" };
-  return kTexts[static_cast<std::size_t>(aState)];
-}
-
 void EmitMember(YAML::Emitter& aOut, const model::MemberRecord& aMember)
 {
   aOut << YAML::Flow << YAML::BeginMap;
   aOut << YAML::Key << "id" << YAML::Value << aMember.id_.Value();
   aOut << YAML::Key << "domain" << YAML::Value << aMember.domain_.Value();
-  aOut << YAML::Key << "state" << YAML::Value << StateText(aMember.state_);
+  aOut << YAML::Key << "state" << YAML::Value << ToString(aMember.state_);
   aOut << YAML::Key << "leaving" << YAML::Value << aMember.leaving_;
   if (aMember.endpoint_) {
     aOut << YAML::Key << "service" << YAML::Value << aMember.endpoint_->service_.Value();
@@ -95,10 +89,26 @@
     http::status::ok, StatusText(aPorts.name_, *aPorts.status_->Load()), "application/yaml");
 }
 
+/// The log counts its dropped lines itself, since its thread also reports them as a line.
+std::string DroppedLinesText(const runtime::StructuredLog& aLines)
+{
+  using runtime::LogClass;
+  const std::string name = "hemlockproxy_log_lines_dropped_total";
+  std::string text = "# HELP " + name + " Lines of the structured log that were dropped.\n# TYPE " +
+                     name + " counter\n";
+  for (const auto& [logClass, label] : { std::pair(LogClass::Change, "change"),
+                                         std::pair(LogClass::Failure, "failure"),
+                                         std::pair(LogClass::Success, "success") }) {
+    text += name + "{class=\"" + label + "\"} " + std::to_string(aLines.Dropped(logClass)) + "\n";
+  }
+  return text;
+}
+
 void HandleMetrics(const AdminPorts& aPorts, runtime::HttpExchange& aExchange)
 {
-  (void)aExchange.SendResponse(
-    http::status::ok, aPorts.metrics_->PrometheusText(), "text/plain; version=0.0.4");
+  (void)aExchange.SendResponse(http::status::ok,
+                               aPorts.metrics_->PrometheusText() + DroppedLinesText(*aPorts.lines_),
+                               "text/plain; version=0.0.4");
 }
 
 void HandleEvents(const AdminPorts& aPorts, runtime::HttpExchange& aExchange)
@@ -160,6 +170,16 @@
   found->handle_(aPorts, aExchange);
 }
 
+void HandleMetricsPort(const AdminPorts& aPorts, runtime::HttpExchange& aExchange)
+{
+  const auto& request = aExchange.Request();
+  if (request.method() != http::verb::get || request.target() != "/metrics") {
+    (void)aExchange.SendResponse(http::status::not_found, "expected GET /metrics\n");
+    return;
+  }
+  HandleMetrics(aPorts, aExchange);
+}
+
 std::string EventLines(const std::vector<model::Event>& aEvents)
 {
   std::string lines;
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -433,7 +433,12 @@
   view->routes_ = ready_ ? routes_ : nullptr;
   view->leaving_ = leaving_;
   view->unreachable_ = unreachable_;
+  std::map<model::MemberState, double> states = { { model::MemberState::Alive, 0 },
+                                                  { model::MemberState::Suspect, 0 },
+                                                  { model::MemberState::Dead, 0 },
+                                                  { model::MemberState::Left, 0 } };
   for (const auto& member : membership_.Members()) {
+    states[member->state_] += member->domain_ == settings_.domain_ ? 1 : 0;
     const bool live =
       member->state_ == model::MemberState::Alive || member->state_ == model::MemberState::Suspect;
     if (live && member->endpoint_) {
@@ -444,6 +449,9 @@
     }
     status->members_.push_back(member);
   }
+  for (const auto& [state, count] : states) {
+    metrics_.Set(runtime::Family::Members, { ToString(state) }, count);
+  }
   metrics_.Set(Gauge::MembersAlive, view->domainMembers_.size());
   metrics_.Set(Gauge::EndpointsKnown, view->endpoints_.size());
   metrics_.Set(Gauge::ConfigVersion, EnforcedVersion().Value());
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -244,6 +244,7 @@
   ports.status_ = &status;
   ports.metrics_ = &metrics;
   ports.events_ = &events;
+  ports.lines_ = &lines;
   ports.announce_ = [&traffic](model::BackendReport aReport) {
     return (*traffic)->Announce(std::move(aReport));
   };
@@ -255,10 +256,24 @@
   if (!admin) {
     return DaemonError{ admin.Error().message_ };
   }
+  std::unique_ptr<runtime::HttpServer> metricsServer;
+  if (!aSettings.metrics_.ip_.empty()) {
+    auto created = runtime::HttpServer::Create(
+      io, aSettings.metrics_, {}, [&ports](runtime::HttpExchange& aExchange) {
+        HandleMetricsPort(ports, aExchange);
+      });
+    if (!created) {
+      return DaemonError{ created.Error().message_ };
+    }
+    metricsServer = *std::move(created);
+  }
   DaemonEnd end = DaemonEnd::Graceful;
   lines.Start();
   // The telemetry thread is the calling one.
   runtime::RunFiberLoop(io, [&] {
+    if (metricsServer) {
+      metricsServer->Start();
+    }
     Supervisor supervisor(aSettings, **traffic, **control, events, *std::move(admin), io);
     end = supervisor.Run();
     lines.Stop(kLastLines);
--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -39,6 +39,8 @@
 /// The part of the shared retry limit that this daemon's own retries may use. The rest is left for
 /// the calls of repeated requests, which count as repeats at the services that they call.
 constexpr double kOwnRetryPart = 0.5;
+/// Metrics are fetched every few seconds.
+constexpr std::chrono::milliseconds kFiguresInterval{ 1000 };
 
 decisions::ResponseKind KindOf(const UpstreamReply& aReply)
 {
@@ -165,6 +167,9 @@
       options_.localIp_,
       [this](const decisions::PeerChange& aChange) { PeerChanged(aChange); }))
 {
+  pool_.SetOnOpen([this](runtime::OpenReason aReason) {
+    metrics_.Add(runtime::Family::ConnectionsOpened, { "daemon", ToString(aReason) });
+  });
 }
 
 EntryService::~EntryService() = default;
@@ -172,6 +177,17 @@
 void EntryService::Tick()
 {
   prober_->Tick();
+  const auto now = std::chrono::steady_clock::now();
+  if (now < nextFigures_) {
+    return;
+  }
+  nextFigures_ = now + kFiguresInterval;
+  for (const auto& [service, target] : targets_) {
+    if (target.retries_) {
+      metrics_.Set(
+        runtime::Family::RetriesLeft, { service.Value() }, target.retries_->RetriesLeft(now));
+    }
+  }
 }
 
 void EntryService::Refresh(const TrafficViewPtr& aView)
@@ -423,6 +439,9 @@
   aCall.endpoint_ = choice->endpoint_;
   UpstreamReply reply = RunTimedAttempt(aCall, choice->endpoint_);
   const auto ended = std::chrono::steady_clock::now();
+  metrics_.Add(
+    runtime::Family::EntryAttempts,
+    { aCall.request_.service_.Value(), ToString(reply.outcome_), ToString(reply.reason_) });
   AttemptResult result{ choice->endpoint_,
                         decisions::JudgeAttempt(reply.outcome_, reply.reason_, KindOf(reply)),
                         ended - started,
@@ -572,6 +591,7 @@
       aChange.silent_ ? runtime::LogEvent::PeerSilent : runtime::LogEvent::PeerBack;
     options_.lines_->Write(options_.lines_->Line(event).Add("detail", aChange.id_.Value()));
   }
+  metrics_.Set(runtime::Gauge::PeersSilent, prober_->SilentCount());
   for (auto& [service, target] : targets_) {
     if (target.chooser_) {
       target.chooser_->SetSilent(aChange.id_, aChange.silent_);
@@ -697,6 +717,11 @@
 {
   using impl::RequestEnd;
   using runtime::Counter;
+  metrics_.Add(runtime::Family::EntryRequests,
+               { aCall.request_.work_.label_,
+                 aCall.request_.service_.Value(),
+                 ToString(aReply.outcome_),
+                 ToString(aReply.reason_) });
   std::optional<std::chrono::milliseconds> retryAfter;
   if (aReply.outcome_ != RequestOutcome::Answered && impl::MayComeBack(aReply)) {
     retryAfter = decisions::RetryTime({}, aCall.expectedWait_, random_);
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -139,6 +139,9 @@
   , registry_(*decisions::BackendRegistry::Create({ .interval_ = options_.reportInterval_ }))
   , quarantine_(*decisions::Quarantine::Create({}))
 {
+  pool_.SetOnOpen([this](runtime::OpenReason aReason) {
+    metrics_.Add(runtime::Family::ConnectionsOpened, { "backend", ToString(aReason) });
+  });
   options_.exchange_.dialect_ = options_.dialect_.get();
 }
 
@@ -155,6 +158,14 @@
     BackendChanged(runtime::LogEvent::EndpointWithdrawn);
   }
   Refresh(views_.Load());
+  using runtime::Gauge;
+  metrics_.Set(Gauge::OwnerRunning, admission_ ? admission_->Running() : 0);
+  metrics_.Set(Gauge::OwnerQueued, admission_ ? admission_->Queued() : 0);
+  metrics_.Set(Gauge::OwnerSlots, admission_ ? admission_->Capacity() : 0);
+  const auto mean = admission_ ? admission_->MeanServiceTime() : model::Duration{};
+  metrics_.Set(Gauge::OwnerServiceMicros,
+               static_cast<std::uint64_t>(
+                 std::chrono::duration_cast<std::chrono::microseconds>(mean).count()));
 }
 
 void OwnerService::Report(const model::BackendReport& aReport)
@@ -386,6 +397,16 @@
 }
 
 UpstreamReply OwnerService::Execute(UpstreamRequest& aRequest)
+{
+  UpstreamReply reply = Run(aRequest);
+  metrics_.Add(runtime::Family::OwnerRequests,
+               { std::to_string(aRequest.work_.priority_),
+                 ToString(reply.outcome_),
+                 ToString(reply.reason_) });
+  return reply;
+}
+
+UpstreamReply OwnerService::Run(UpstreamRequest& aRequest)
 {
   const TrafficViewPtr view = views_.Load();
   Refresh(view);
--- a/packages/daemon/src/PlatformThread.cpp
+++ b/packages/daemon/src/PlatformThread.cpp
@@ -53,27 +53,43 @@
   }
 }
 
+template <typename Call>
+auto PlatformThread::Measure(const char* aName, Call&& aCall)
+{
+  const auto started = std::chrono::steady_clock::now();
+  auto result = aCall();
+  metrics_.Record(runtime::Timing::LogCall, std::chrono::steady_clock::now() - started);
+  metrics_.Add(runtime::Family::LogCalls,
+               { aName, result ? "ok" : ToString(result.Error().kind_) });
+  return result;
+}
+
 void PlatformThread::Execute(runtime::LogPort& aLog, const LogReadCommand& aCommand)
 {
-  Complete(
-    LogReadResult{ aCommand.ticket_,
-                   aLog.Read(aCommand.stream_, aCommand.from_, aCommand.wait_, aCommand.most_) });
+  Complete(LogReadResult{ aCommand.ticket_, Measure("read", [&] {
+                            return aLog.Read(
+                              aCommand.stream_, aCommand.from_, aCommand.wait_, aCommand.most_);
+                          }) });
 }
 
 void PlatformThread::Execute(runtime::LogPort& aLog, const LogNewestCommand& aCommand)
 {
-  Complete(LogReadResult{ aCommand.ticket_, aLog.ReadNewest(aCommand.stream_) });
+  Complete(LogReadResult{ aCommand.ticket_,
+                          Measure("newest", [&] { return aLog.ReadNewest(aCommand.stream_); }) });
 }
 
 void PlatformThread::Execute(runtime::LogPort& aLog, const LogAppendCommand& aCommand)
 {
-  Complete(LogAppendResult{ aCommand.ticket_, aLog.Append(aCommand.stream_, aCommand.bytes_) });
+  Complete(LogAppendResult{ aCommand.ticket_, Measure("append", [&] {
+                              return aLog.Append(aCommand.stream_, aCommand.bytes_);
+                            }) });
 }
 
 void PlatformThread::Execute(runtime::LogPort& aLog, const LogPutCommand& aCommand)
 {
-  Complete(LogAppendResult{ aCommand.ticket_,
-                            aLog.Put(aCommand.stream_, aCommand.key_, aCommand.bytes_) });
+  Complete(LogAppendResult{ aCommand.ticket_, Measure("put", [&] {
+                              return aLog.Put(aCommand.stream_, aCommand.key_, aCommand.bytes_);
+                            }) });
 }
 
 void PlatformThread::Complete(LogReadResult aResult)
--- a/packages/daemon/src/impl/PeerProber.h
+++ b/packages/daemon/src/impl/PeerProber.h
@@ -33,6 +33,8 @@
   void Tick();
   [[nodiscard]] bool IsSilent(const model::DaemonId& aPeer) const { return reach_.IsSilent(aPeer); }
 
+  [[nodiscard]] std::size_t SilentCount() const { return reach_.SilentCount(); }
+
 private:
   void TellChanges();
   [[nodiscard]] bool Probe(const model::Address& aAddress);
--- a/packages/decisions/include/hemlockproxy/decisions/PeerReach.h
+++ b/packages/decisions/include/hemlockproxy/decisions/PeerReach.h
@@ -68,6 +68,8 @@
   [[nodiscard]] std::vector<PeerChange> TakeChanges();
   [[nodiscard]] bool IsSilent(const model::DaemonId& aPeer) const;
 
+  [[nodiscard]] std::size_t SilentCount() const;
+
 private:
   struct State
   {
--- a/packages/decisions/include/hemlockproxy/decisions/RetryBudget.h
+++ b/packages/decisions/include/hemlockproxy/decisions/RetryBudget.h
@@ -17,6 +17,8 @@
   virtual void CountRequest(model::TimePoint aNow) noexcept = 0;
   /// Takes the place of one retry; returns false if the budget is used up.
   [[nodiscard]] virtual bool TakeRetry(model::TimePoint aNow) noexcept = 0;
+  /// Returns how many retries TakeRetry would allow now.
+  [[nodiscard]] virtual double Left(model::TimePoint aNow) noexcept = 0;
   /// Sets the retries that are allowed beside the share of the requests, where the budget has such
   /// an allowance.
   virtual void SetExtra(double aExtra) noexcept;
--- a/packages/decisions/include/hemlockproxy/decisions/RetryPolicy.h
+++ b/packages/decisions/include/hemlockproxy/decisions/RetryPolicy.h
@@ -117,6 +117,11 @@
   /// Counts a new request, which fills the budget of redirects.
   void CountRequest(model::TimePoint aNow) noexcept;
   /// Passes the allowance on to the budget of retries.
+  /// Returns how many retries the budget allows now.
+  [[nodiscard]] double RetriesLeft(model::TimePoint aNow) const noexcept
+  {
+    return options_.budget_->Left(aNow);
+  }
   void SetExtra(double aExtra) noexcept;
   /// Decides on a request whose attempt has ended; takes from the budget if it is retried. Call it
   /// also for answered attempts, since they fill the budget of retries: requests that are only
--- a/packages/decisions/src/PeerReach.cpp
+++ b/packages/decisions/src/PeerReach.cpp
@@ -1,5 +1,6 @@
 #include "hemlockproxy/decisions/PeerReach.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace hemlockproxy::decisions {
@@ -119,4 +120,10 @@
   return found != states_.end() && found->second.silent_;
 }
 
+std::size_t PeerReach::SilentCount() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    states_.begin(), states_.end(), [](const auto& aEntry) { return aEntry.second.silent_; }));
+}
+
 } // namespace hemlockproxy::decisions
--- a/packages/decisions/src/RetryBudget.cpp
+++ b/packages/decisions/src/RetryBudget.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 
 namespace hemlockproxy::decisions {
 
@@ -33,6 +34,8 @@
     return true;
   }
 
+  [[nodiscard]] double Left(model::TimePoint) noexcept override { return tokens_; }
+
 private:
   double perRequest_;
   double burst_;
@@ -65,6 +68,12 @@
     return true;
   }
 
+  [[nodiscard]] double Left(model::TimePoint aNow) noexcept override
+  {
+    (void)Current(aNow);
+    return std::max(0.0, share_ * requests_ + extra_ - retries_);
+  }
+
   void SetExtra(double aExtra) noexcept override { extra_ = aExtra; }
 
 private:
@@ -106,6 +115,10 @@
 public:
   void CountRequest(model::TimePoint) noexcept override {}
   [[nodiscard]] bool TakeRetry(model::TimePoint) noexcept override { return true; }
+  [[nodiscard]] double Left(model::TimePoint) noexcept override
+  {
+    return std::numeric_limits<double>::infinity();
+  }
 };
 
 } // namespace
--- a/packages/model/include/hemlockproxy/model/Member.h
+++ b/packages/model/include/hemlockproxy/model/Member.h
@@ -32,6 +32,9 @@
   Left = 3,
 };
 
+/// Returns the state in lower case, such as "suspect".
+[[nodiscard]] const char* ToString(MemberState aState) noexcept;
+
 /// What one daemon tells the others of itself.
 struct MemberRecord
 {
--- a/packages/runtime/include/hemlockproxy/runtime/HttpClient.h
+++ b/packages/runtime/include/hemlockproxy/runtime/HttpClient.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -60,10 +61,26 @@
 
 using HttpConnectionPtr = std::unique_ptr<HttpConnection>;
 
+/// Why a pool opens a connection.
+enum class OpenReason : std::uint8_t
+{
+  /// None was idle.
+  NoneIdle,
+  /// The idle ones had been idle for too long.
+  Expired,
+  /// The peer had closed the idle ones.
+  ClosedByPeer,
+};
+
+/// Returns the reason as a metric label, such as "none-idle".
+[[nodiscard]] const char* ToString(OpenReason aReason) noexcept;
+
 /// Idle connections by address. Used on one thread.
 class HttpConnectionPool
 {
 public:
+  using OnOpen = std::function<void(OpenReason)>;
+
   /// Idle connections per address are bounded; an idle connection is dropped after the idle time,
   /// which must be shorter than the peers' idle timeout.
   /// Connections are made from the local IP number unless it is empty.
@@ -75,6 +92,8 @@
   /// Returns an idle connection or a new one.
   [[nodiscard]] HttpResult<HttpConnectionPtr> Acquire(const model::Address& aAddress,
                                                       HttpConnection::Timeout aConnectTimeout);
+  /// Calls the function for each connection that Acquire tries to make.
+  void SetOnOpen(OnOpen aOnOpen) { onOpen_ = std::move(aOnOpen); }
   /// Takes back a connection; drops it unless it is reusable.
   void Release(const model::Address& aAddress, HttpConnectionPtr aConnection);
 
@@ -89,6 +108,7 @@
   std::size_t idlePerAddress_;
   std::chrono::milliseconds idleTime_;
   std::string localIp_;
+  OnOpen onOpen_;
   std::map<model::Address, std::deque<IdleConnection>> idle_;
 };
 
--- a/packages/runtime/include/hemlockproxy/runtime/Log.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Log.h
@@ -30,6 +30,9 @@
   Malformed,
 };
 
+/// Returns the kind as a metric label, such as "rate-limited".
+[[nodiscard]] const char* ToString(LogErrorKind aKind) noexcept;
+
 struct LogError
 {
   LogErrorKind kind_ = LogErrorKind::Unavailable;
--- a/packages/runtime/include/hemlockproxy/runtime/Metrics.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Metrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "hemlockproxy/runtime/MetricFamily.h"
+
 #include <array>
 #include <atomic>
 #include <chrono>
@@ -33,7 +35,6 @@
   LogAppends,
   LogErrors,
   VersionsEnforced,
-  EventsDropped,
   Count,
 };
 
@@ -45,6 +46,33 @@
   EndpointsKnown,
   RequestsInProgress,
   Ready,
+  /// Unix time in seconds; the age of the version is the time since.
+  ConfigEnforcedAt,
+  PeersSilent,
+  OwnerRunning,
+  OwnerQueued,
+  OwnerSlots,
+  OwnerServiceMicros,
+  Count,
+};
+
+/// Values told apart by labels; Metrics.cpp lists the labels in their order.
+enum class Family : std::uint8_t
+{
+  /// How callers' requests ended, by route, service, outcome and reason.
+  EntryRequests,
+  /// How attempts ended, by service, outcome and reason.
+  EntryAttempts,
+  /// How forwarded requests and those of the own entry ended, by priority, outcome and reason.
+  OwnerRequests,
+  /// Retries that the budget still allows, by service.
+  RetriesLeft,
+  /// Calls of the log, by call and result.
+  LogCalls,
+  /// By the kind of the peer and why no idle connection was used.
+  ConnectionsOpened,
+  /// Members of the own failure domain, by state.
+  Members,
   Count,
 };
 
@@ -59,6 +87,8 @@
   QueueWait,
   /// From the publish record's append until the version is enforced here.
   Convergence,
+  /// A call of the log, with the time that a read waits for records.
+  LogCall,
   Count,
 };
 
@@ -80,6 +110,14 @@
     gauges_[static_cast<std::size_t>(aGauge)].store(aValue, std::memory_order_relaxed);
   }
   void Record(Timing aTiming, std::chrono::nanoseconds aDuration);
+  void Add(Family aFamily, MetricFamily::Labels aLabels)
+  {
+    families_[static_cast<std::size_t>(aFamily)].Add(aLabels, 1);
+  }
+  void Set(Family aFamily, MetricFamily::Labels aLabels, double aValue)
+  {
+    families_[static_cast<std::size_t>(aFamily)].Set(aLabels, aValue);
+  }
 
   [[nodiscard]] std::uint64_t Get(Counter aCounter) const noexcept
   {
@@ -89,6 +127,10 @@
   {
     return gauges_[static_cast<std::size_t>(aGauge)].load(std::memory_order_relaxed);
   }
+  [[nodiscard]] double Get(Family aFamily, MetricFamily::Labels aLabels) const
+  {
+    return families_[static_cast<std::size_t>(aFamily)].Get(aLabels);
+  }
 
   /// Returns all metrics in the Prometheus text format; durations in seconds.
   [[nodiscard]] std::string PrometheusText() const;
@@ -98,6 +140,7 @@
 
   std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(Counter::Count)> counters_{};
   std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(Gauge::Count)> gauges_{};
+  std::array<MetricFamily, static_cast<std::size_t>(Family::Count)> families_;
   std::unique_ptr<Histograms> histograms_;
 };
 
--- a/packages/runtime/src/HttpClient.cpp
+++ b/packages/runtime/src/HttpClient.cpp
@@ -234,18 +234,39 @@
 {
 }
 
+const char* ToString(OpenReason aReason) noexcept
+{
+  switch (aReason) {
+    case OpenReason::NoneIdle:
+      return "none-idle";
+    case OpenReason::Expired:
+      return "expired";
+    case OpenReason::ClosedByPeer:
+      return "closed-by-peer";
+  }
+  return "unknown";
+}
+
 HttpResult<HttpConnectionPtr> HttpConnectionPool::Acquire(const model::Address& aAddress,
                                                           HttpConnection::Timeout aConnectTimeout)
 {
   auto& idle = idle_[aAddress];
   const auto now = std::chrono::steady_clock::now();
+  auto reason = OpenReason::NoneIdle;
   while (!idle.empty()) {
     IdleConnection candidate = std::move(idle.back());
     idle.pop_back();
-    if (now < candidate.until_ && candidate.connection_->Idle()) {
+    if (now >= candidate.until_) {
+      reason = OpenReason::Expired;
+    } else if (candidate.connection_->Idle()) {
       return std::move(candidate.connection_);
+    } else {
+      reason = OpenReason::ClosedByPeer;
     }
   }
+  if (onOpen_) {
+    onOpen_(reason);
+  }
   return HttpConnection::Connect(*io_, aAddress, aConnectTimeout, localIp_);
 }
 
--- a/packages/runtime/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -39,7 +39,6 @@
   { "log_appends_total", "Appends to the log service." },
   { "log_errors_total", "Failed reads and appends." },
   { "versions_enforced_total", "Configuration versions enforced." },
-  { "events_dropped_total", "Events dropped because the ring buffer was full." },
 } };
 
 constexpr std::array<MetricInfo, static_cast<std::size_t>(Gauge::Count)> kGauges = { {
@@ -48,13 +47,51 @@
   { "endpoints_known", "Endpoints of all failure domains." },
   { "requests_in_progress", "Requests in progress at this entry." },
   { "ready", "1 when the daemon serves requests." },
+  { "config_enforced_at_seconds", "Unix time at which the version in effect was enforced." },
+  { "peers_silent", "Other daemons that do not answer this entry." },
+  { "owner_running", "Requests that the own backend server runs." },
+  { "owner_queued", "Requests that wait for the own backend server." },
+  { "owner_slots", "Requests that the own backend server may run at once." },
+  { "owner_service_microseconds", "Mean service time of the own backend server." },
 } };
 
+struct FamilyInfo
+{
+  MetricInfo info_;
+  const char* type_;
+  std::vector<std::string_view> labels_;
+};
+
+const std::array<FamilyInfo, static_cast<std::size_t>(Family::Count)>& Families()
+{
+  static const std::array<FamilyInfo, static_cast<std::size_t>(Family::Count)> kFamilies = { {
+    { { "entry_requests_total", "How callers' requests ended." },
+      "counter",
+      { "route", "service", "outcome", "reason" } },
+    { { "entry_attempts_total", "How attempts to run requests ended." },
+      "counter",
+      { "service", "outcome", "reason" } },
+    { { "owner_requests_total", "How requests for the own backend server ended." },
+      "counter",
+      { "priority", "outcome", "reason" } },
+    { { "retries_left", "Retries that the budget of this entry allows now." },
+      "gauge",
+      { "service" } },
+    { { "log_calls_total", "Calls of the log." }, "counter", { "call", "result" } },
+    { { "connections_opened_total", "Connections made, and why no idle one was used." },
+      "counter",
+      { "peer", "why" } },
+    { { "members", "Members of the own failure domain." }, "gauge", { "state" } },
+  } };
+  return kFamilies;
+}
+
 constexpr std::array<MetricInfo, static_cast<std::size_t>(Timing::Count)> kTimings = { {
   { "entry_request_seconds", "Time from the request header until the response is delivered." },
   { "backend_response_seconds", "Time from admission until the backend server's response header." },
   { "queue_wait_seconds", "Time in the owner's queue." },
   { "convergence_seconds", "Time from a publish record's append until its version is enforced." },
+  { "log_call_seconds", "Time of a call of the log, with the wait of a read." },
 } };
 
 /// Bounds of the histograms in microseconds; logarithmic bins in between.
@@ -79,6 +116,7 @@
 struct Metrics::Histograms
 {
   std::array<Histogram, static_cast<std::size_t>(Timing::Count)> cells_ = { MakeHistogram(),
+                                                                            MakeHistogram(),
                                                                             MakeHistogram(),
                                                                             MakeHistogram(),
                                                                             MakeHistogram() };
@@ -116,6 +154,11 @@
     head(kGauges[i], "gauge");
     out << "hemlockproxy_" << kGauges[i].name_ << ' ' << gauges_[i].load() << '\n';
   }
+  for (std::size_t i = 0; i < families_.size(); ++i) {
+    const FamilyInfo& family = Families()[i];
+    head(family.info_, family.type_);
+    families_[i].Write(out, std::string("hemlockproxy_") + family.info_.name_, family.labels_);
+  }
   for (std::size_t i = 0; i < kTimings.size(); ++i) {
     head(kTimings[i], "histogram");
     std::uint64_t total = 0;
