Give up running requests only after lost probes, and none while stopping

Since one failed connection, which one lost packet can cause, gave up all that waits at the peer.

Change: PeerPath tells Doubtful (a connection failed: no new requests) from Silent (two probes lost as well: what waits is given up). A stopping daemon gives up no running attempt.

--- a/packages/daemon/include/hemlockproxy/daemon/EntryService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/EntryService.h
@@ -18,6 +18,7 @@
 #include "hemlockproxy/runtime/Metrics.h"
 #include "hemlockproxy/runtime/StructuredLog.h"
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <optional>
@@ -70,6 +71,8 @@
   void Handle(runtime::HttpExchange& aExchange);
   /// Watches the other daemons; called often while requests are in progress.
   void Tick();
+  /// After this call no running attempt is given up for another one; callable from any thread.
+  void SetStopping() noexcept { stopping_ = true; }
   /// Ends the background work; requests in progress must have ended.
   void Stop() noexcept { keyed_.Stop(); }
 
@@ -140,6 +143,7 @@
   std::map<std::pair<std::string, std::string>, decisions::WeightedSplit> splits_;
   decisions::EntryGate gate_;
   std::unique_ptr<impl::PeerProber> prober_;
+  std::atomic<bool> stopping_ = false;
   model::TimePoint nextFigures_{};
   /// Attempts that can be repeated elsewhere, by endpoint.
   std::multimap<model::DaemonId, Call*> repeatable_;
--- a/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
@@ -52,7 +52,13 @@
     return inbox_.TryPush(std::move(aReport));
   }
   /// Sets which new requests are rejected as leaving; callable from any thread.
-  void SetDrainState(decisions::DrainState aState) noexcept { drainState_ = aState; }
+  void SetDrainState(decisions::DrainState aState) noexcept
+  {
+    drainState_ = aState;
+    if (aState != decisions::DrainState::Serving) {
+      entry_.SetStopping();
+    }
+  }
   /// Stops both listeners, waits for exchanges in progress up to the limit, and ends the thread.
   void Stop(std::chrono::milliseconds aLimit);
 
--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -9,6 +9,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace hemlockproxy::daemon {
@@ -80,6 +81,11 @@
   }
 }
 
+bool IsOpen(decisions::PeerPath aPath) noexcept
+{
+  return aPath == decisions::PeerPath::Open;
+}
+
 std::optional<model::Duration> ReadWait(const runtime::ResponseHeader& aHeader)
 {
   const auto text = aHeader[kWaitField];
@@ -223,7 +229,7 @@
     Target& target = TargetOf(*aView, service);
     target.chooser_->SetEndpoints(now, list);
     for (const auto& entry : list) {
-      target.chooser_->SetSilent(entry.id_, prober_->IsSilent(entry.id_));
+      target.chooser_->SetReachable(entry.id_, IsOpen(prober_->PathTo(entry.id_)));
     }
     RefreshRetries(*aView, service, target);
     // Each daemon with a backend server is an entry.
@@ -527,6 +533,10 @@
 
 std::optional<model::Duration> EntryService::GiveUpAttempt(Call& aCall)
 {
+  if (stopping_) {
+    // The daemon waits for what runs, and has little time left for another attempt.
+    return std::nullopt;
+  }
   const auto now = std::chrono::steady_clock::now();
   Target& target = *aCall.target_;
   auto tried = aCall.tried_;
@@ -588,16 +598,20 @@
 {
   if (options_.lines_ != nullptr) {
     const auto event =
-      aChange.silent_ ? runtime::LogEvent::PeerSilent : runtime::LogEvent::PeerBack;
-    options_.lines_->Write(options_.lines_->Line(event).Add("detail", aChange.id_.Value()));
-  }
-  metrics_.Set(runtime::Gauge::PeersSilent, prober_->SilentCount());
+      IsOpen(aChange.path_) ? runtime::LogEvent::PeerBack : runtime::LogEvent::PeerSilent;
+    constexpr std::array<const char*, 3> kDetails = { "",
+                                                      ", a connection failed",
+                                                      ", probes lost" };
+    options_.lines_->Write(options_.lines_->Line(event).Add(
+      "detail", aChange.id_.Value() + kDetails[static_cast<std::size_t>(aChange.path_)]));
+  }
+  metrics_.Set(runtime::Gauge::PeersSilent, prober_->ClosedCount());
   for (auto& [service, target] : targets_) {
     if (target.chooser_) {
-      target.chooser_->SetSilent(aChange.id_, aChange.silent_);
+      target.chooser_->SetReachable(aChange.id_, IsOpen(aChange.path_));
     }
   }
-  if (!aChange.silent_) {
+  if (aChange.path_ != decisions::PeerPath::Silent) {
     return;
   }
   const auto [first, last] = repeatable_.equal_range(aChange.id_);
--- a/packages/daemon/src/impl/PeerProber.h
+++ b/packages/daemon/src/impl/PeerProber.h
@@ -31,9 +31,12 @@
   void Ended(const model::DaemonId& aPeer, decisions::PeerSign aSign);
   /// Starts the probes that are due.
   void Tick();
-  [[nodiscard]] bool IsSilent(const model::DaemonId& aPeer) const { return reach_.IsSilent(aPeer); }
+  [[nodiscard]] decisions::PeerPath PathTo(const model::DaemonId& aPeer) const
+  {
+    return reach_.PathTo(aPeer);
+  }
 
-  [[nodiscard]] std::size_t SilentCount() const { return reach_.SilentCount(); }
+  [[nodiscard]] std::size_t ClosedCount() const { return reach_.ClosedCount(); }
 
 private:
   void TellChanges();
--- a/packages/decisions/include/hemlockproxy/decisions/EndpointChooser.h
+++ b/packages/decisions/include/hemlockproxy/decisions/EndpointChooser.h
@@ -105,7 +105,7 @@
   void SetEndpoints(model::TimePoint aNow, const std::vector<EndpointEntry>& aEndpoints);
   /// Keeps an endpoint out of the choice while this daemon cannot reach it, however many others are
   /// kept out; does nothing for an endpoint that is not listed.
-  void SetSilent(const model::DaemonId& aEndpoint, bool aSilent);
+  void SetReachable(const model::DaemonId& aEndpoint, bool aReachable);
   /// Chooses an endpoint that is not in aTried and counts the attempt as in progress; the error is
   /// NoEndpoint.
   [[nodiscard]] model::Result<EndpointChoice, model::RefusalReason> Choose(
@@ -135,7 +135,7 @@
     double othersAtReport_ = 0;
     std::optional<model::TimePoint> reportedAt_;
     model::TimePoint leavingUntil_{};
-    bool silent_ = false;
+    bool reachable_ = true;
     /// Ends of the times for which failed attempts count as work.
     std::deque<model::TimePoint> held_;
   };
--- a/packages/decisions/include/hemlockproxy/decisions/PeerReach.h
+++ b/packages/decisions/include/hemlockproxy/decisions/PeerReach.h
@@ -18,8 +18,8 @@
   std::chrono::milliseconds silence_{ 250 };
   /// A silent peer is probed at this interval, so that it gets work again soon after it is back.
   std::chrono::milliseconds probeInterval_{ 250 };
-  /// Probes in a row without response after which a connected peer is silent: one alone is lost too
-  /// often on a link with loss.
+  /// Probes in a row without response after which a peer is silent: one alone is lost too often on
+  /// a link with loss.
   std::uint32_t probesLost_ = 2;
 };
 
@@ -36,11 +36,21 @@
   Nothing,
 };
 
-/// A peer that has turned silent or is back.
+/// What is known of the path to a peer.
+enum class PeerPath : std::uint8_t
+{
+  Open,
+  /// A connection failed: the peer gets no new requests until a probe is answered. What runs there
+  /// goes on, since one lost packet is enough for this.
+  Doubtful,
+  /// Probes were lost, too: nothing that waits there is expected to end.
+  Silent,
+};
+
 struct PeerChange
 {
   model::DaemonId id_;
-  bool silent_ = false;
+  PeerPath path_ = PeerPath::Open;
 };
 
 /// Decides from this daemon's own exchanges which peers cannot be reached, and when to probe them.
@@ -66,9 +76,9 @@
 
   /// Returns the changes since the last call.
   [[nodiscard]] std::vector<PeerChange> TakeChanges();
-  [[nodiscard]] bool IsSilent(const model::DaemonId& aPeer) const;
-
-  [[nodiscard]] std::size_t SilentCount() const;
+  [[nodiscard]] PeerPath PathTo(const model::DaemonId& aPeer) const;
+  /// Returns how many peers get no requests.
+  [[nodiscard]] std::size_t ClosedCount() const;
 
 private:
   struct State
@@ -80,10 +90,10 @@
     bool probing_ = false;
     /// The next probe, if one is due without further signs.
     std::optional<model::TimePoint> probeAt_;
-    bool silent_ = false;
+    PeerPath path_ = PeerPath::Open;
   };
 
-  void SetSilent(const model::DaemonId& aPeer, State& aState, bool aSilent);
+  void SetPath(const model::DaemonId& aPeer, State& aState, PeerPath aPath);
   void Heard(model::TimePoint aNow, const model::DaemonId& aPeer, State& aState);
   [[nodiscard]] bool IsProbeDue(model::TimePoint aNow, const State& aState) const;
 
--- a/packages/decisions/src/EndpointChooser.cpp
+++ b/packages/decisions/src/EndpointChooser.cpp
@@ -96,16 +96,16 @@
   }
 }
 
-void EndpointChooser::SetSilent(const DaemonId& aEndpoint, bool aSilent)
+void EndpointChooser::SetReachable(const DaemonId& aEndpoint, bool aReachable)
 {
   if (const auto found = states_.find(aEndpoint); found != states_.end()) {
-    found->second.silent_ = aSilent;
+    found->second.reachable_ = aReachable;
   }
 }
 
 bool EndpointChooser::IsOpen(TimePoint aNow, const State& aState) noexcept
 {
-  return aState.entry_.takesWork_ && !aState.silent_ && aNow >= aState.leavingUntil_;
+  return aState.entry_.takesWork_ && aState.reachable_ && aNow >= aState.leavingUntil_;
 }
 
 model::Result<EndpointChoice, RefusalReason>
--- a/packages/decisions/src/PeerReach.cpp
+++ b/packages/decisions/src/PeerReach.cpp
@@ -41,7 +41,7 @@
       Heard(aNow, aPeer, state);
       break;
     case PeerSign::ConnectFailed:
-      SetSilent(aPeer, state, true);
+      SetPath(aPeer, state, std::max(state.path_, PeerPath::Doubtful));
       state.probeAt_ = state.probeAt_.value_or(aNow);
       break;
     case PeerSign::NotHeard:
@@ -86,8 +86,8 @@
     return;
   }
   ++state.lostProbes_;
-  if (state.silent_ || state.lostProbes_ >= options_.probesLost_) {
-    SetSilent(aPeer, state, true);
+  if (state.lostProbes_ >= options_.probesLost_) {
+    SetPath(aPeer, state, PeerPath::Silent);
     state.probeAt_ = aNow + options_.probeInterval_;
   } else {
     state.probeAt_ = aNow;
@@ -99,13 +99,13 @@
   aState.quietSince_ = aNow;
   aState.lostProbes_ = 0;
   aState.probeAt_.reset();
-  SetSilent(aPeer, aState, false);
+  SetPath(aPeer, aState, PeerPath::Open);
 }
 
-void PeerReach::SetSilent(const DaemonId& aPeer, State& aState, bool aSilent)
+void PeerReach::SetPath(const DaemonId& aPeer, State& aState, PeerPath aPath)
 {
-  if (std::exchange(aState.silent_, aSilent) != aSilent) {
-    changes_.push_back({ aPeer, aSilent });
+  if (std::exchange(aState.path_, aPath) != aPath) {
+    changes_.push_back({ aPeer, aPath });
   }
 }
 
@@ -114,16 +114,18 @@
   return std::exchange(changes_, {});
 }
 
-bool PeerReach::IsSilent(const DaemonId& aPeer) const
+PeerPath PeerReach::PathTo(const DaemonId& aPeer) const
 {
   const auto found = states_.find(aPeer);
-  return found != states_.end() && found->second.silent_;
+  return found == states_.end() ? PeerPath::Open : found->second.path_;
 }
 
-std::size_t PeerReach::SilentCount() const
+std::size_t PeerReach::ClosedCount() const
 {
-  return static_cast<std::size_t>(std::count_if(
-    states_.begin(), states_.end(), [](const auto& aEntry) { return aEntry.second.silent_; }));
+  return static_cast<std::size_t>(
+    std::count_if(states_.begin(), states_.end(), [](const auto& aEntry) {
+      return aEntry.second.path_ != PeerPath::Open;
+    }));
 }
 
 } // namespace hemlockproxy::decisions
