Share the pace of reads between both sources of configurations

OperatorConfigSource repeated the mode, the one read in flight, the backoff with jitter and the lost and regained events of PublishedConfigSource. ReadPace holds them once; each source keeps its stream, its pauses and what it makes of a batch.

--- a/packages/daemon/include/hemlockproxy/daemon/OperatorConfigSource.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OperatorConfigSource.h
@@ -2,6 +2,7 @@
 
 #include "hemlockproxy/daemon/Adapters.h"
 #include "hemlockproxy/daemon/ConfigSource.h"
+#include "hemlockproxy/daemon/ReadPace.h"
 #include "hemlockproxy/runtime/EventRing.h"
 
 #include <chrono>
@@ -28,13 +29,13 @@
                        decltype(Adapters::decodeConfiguration_) aDecode,
                        runtime::EventRing& aEvents);
 
-  void Start(const decisions::HandoverPtr& aHandover) override;
-  void Stop() override;
-  void ReadTail() override;
+  void Start(const decisions::HandoverPtr& /*aHandover*/) override { pace_.Start(); }
+  void Stop() override { pace_.Stop(); }
+  void ReadTail() override { pace_.ReadTail(); }
   void TakePeerState(const decisions::HandoverPtr& /*aHandover*/) override {}
   void RaiseFloor(model::ConfigVersion /*aFloor*/) override {}
   [[nodiscard]] std::optional<LogCommand> NextRead(model::TimePoint aNow) override;
-  void ReadNotSubmitted() noexcept override { inFlight_ = false; }
+  void ReadNotSubmitted() noexcept override { pace_.End(); }
   [[nodiscard]] std::vector<decisions::DistributionEvent> Finish(
     const model::Result<runtime::LogBatch, runtime::LogError>& aResult,
     model::TimePoint aNow,
@@ -45,31 +46,19 @@
     return std::nullopt;
   }
   [[nodiscard]] model::LogOffset NextOffset() const noexcept override { return next_; }
-  [[nodiscard]] bool LogAvailable() const noexcept override { return logAvailable_; }
+  [[nodiscard]] bool LogAvailable() const noexcept override { return pace_.LogAvailable(); }
 
 private:
-  enum class Mode : std::uint8_t
-  {
-    Off,
-    Tail,
-    Continuous,
-  };
-
-  void Fail(const runtime::LogError& aError, model::TimePoint aNow, model::RandomSource& aRandom);
   /// Returns whether the record holds a usable configuration.
   bool TakeRecord(const runtime::LogRecord& aRecord);
 
   OperatorConfigOptions options_;
   decltype(Adapters::decodeConfiguration_) decode_;
   runtime::EventRing& events_;
-  Mode mode_ = Mode::Off;
-  bool inFlight_ = false;
-  bool logAvailable_ = false;
+  ReadPace pace_;
   /// Whether next_ is known; if not, the newest record of each key is read.
   bool positioned_ = false;
   model::LogOffset next_;
-  model::TimePoint notBefore_{};
-  std::chrono::milliseconds backoff_{ 0 };
   /// The newest configuration read.
   model::ConfigurationPtr newest_;
   model::ConfigVersion reported_;
--- a/packages/daemon/include/hemlockproxy/daemon/PublishedConfigSource.h
+++ b/packages/daemon/include/hemlockproxy/daemon/PublishedConfigSource.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockproxy/daemon/ConfigSource.h"
+#include "hemlockproxy/daemon/ReadPace.h"
 #include "hemlockproxy/decisions/ConfigReplay.h"
 #include "hemlockproxy/decisions/Distribution.h"
 #include "hemlockproxy/model/Clock.h"
@@ -19,12 +20,12 @@
   PublishedConfigSource(LogTicket aTicket, runtime::EventRing& aEvents);
 
   void Start(const decisions::HandoverPtr& aHandover) override;
-  void Stop() override;
-  void ReadTail() override;
+  void Stop() override { pace_.Stop(); }
+  void ReadTail() override { pace_.ReadTail(); }
   void TakePeerState(const decisions::HandoverPtr& aHandover) override;
   void RaiseFloor(model::ConfigVersion aFloor) override;
   [[nodiscard]] std::optional<LogCommand> NextRead(model::TimePoint aNow) override;
-  void ReadNotSubmitted() noexcept override { inFlight_ = false; }
+  void ReadNotSubmitted() noexcept override { pace_.End(); }
   [[nodiscard]] std::vector<decisions::DistributionEvent> Finish(
     const model::Result<runtime::LogBatch, runtime::LogError>& aResult,
     model::TimePoint aNow,
@@ -38,16 +39,9 @@
   {
     return replay_.NextOffset();
   }
-  [[nodiscard]] bool LogAvailable() const noexcept override { return logAvailable_; }
+  [[nodiscard]] bool LogAvailable() const noexcept override { return pace_.LogAvailable(); }
 
 private:
-  enum class Mode : std::uint8_t
-  {
-    Off,
-    Tail,
-    Continuous,
-  };
-
   void ApplyBatch(const runtime::LogBatch& aBatch,
                   model::WallTime aWallNow,
                   std::vector<decisions::DistributionEvent>& aEvents);
@@ -55,16 +49,11 @@
                    model::WallTime aWallNow,
                    std::vector<decisions::DistributionEvent>& aEvents);
   void ReportVersion(std::vector<decisions::DistributionEvent>& aEvents);
-  void BackOff(model::TimePoint aNow, model::RandomSource& aRandom);
 
   LogTicket ticket_;
   runtime::EventRing& events_;
   decisions::ConfigReplay replay_;
-  Mode mode_ = Mode::Off;
-  bool inFlight_ = false;
-  bool logAvailable_ = false;
-  model::TimePoint notBefore_{};
-  std::chrono::milliseconds backoff_{ 0 };
+  ReadPace pace_;
   model::ConfigVersion reported_;
 };
 
--- a/packages/daemon/src/OperatorConfigSource.cpp
+++ b/packages/daemon/src/OperatorConfigSource.cpp
@@ -12,9 +12,8 @@
 constexpr std::size_t kBatchRecords = 4096;
 /// Versions may follow each other within milliseconds, and only the newest counts.
 constexpr std::chrono::milliseconds kReadGap{ 150 };
-constexpr std::chrono::milliseconds kFirstBackoff{ 100 };
 /// A log that returns must be noticed in time for a version that was written just before.
-constexpr std::chrono::milliseconds kMostBackoff{ 500 };
+constexpr ReadBackoff kBackoff{ std::chrono::milliseconds(100), std::chrono::milliseconds(500) };
 
 } // namespace
 
@@ -24,38 +23,21 @@
   : options_(aOptions)
   , decode_(std::move(aDecode))
   , events_(aEvents)
+  , pace_(kBackoff, aEvents)
 {
 }
 
-void OperatorConfigSource::Start(const decisions::HandoverPtr& /*aHandover*/)
-{
-  mode_ = Mode::Continuous;
-}
-
-void OperatorConfigSource::Stop()
-{
-  mode_ = Mode::Off;
-}
-
-void OperatorConfigSource::ReadTail()
-{
-  if (mode_ == Mode::Off) {
-    mode_ = Mode::Tail;
-  }
-}
-
 std::optional<LogCommand> OperatorConfigSource::NextRead(model::TimePoint aNow)
 {
-  if (mode_ == Mode::Off || inFlight_ || aNow < notBefore_) {
+  if (!pace_.Begin(aNow)) {
     return std::nullopt;
   }
-  inFlight_ = true;
   if (!positioned_) {
     return LogCommand(LogNewestCommand{ options_.ticket_, kStream });
   }
   // The first read after a failure returns at once, so that a recovered log is noticed without
   // waiting for a record.
-  const auto wait = logAvailable_ ? options_.wait_ : std::chrono::milliseconds(0);
+  const auto wait = pace_.LogAvailable() ? options_.wait_ : std::chrono::milliseconds(0);
   return LogCommand(LogReadCommand{ options_.ticket_, kStream, next_, wait, kBatchRecords });
 }
 
@@ -65,18 +47,18 @@
   model::WallTime /*aWallNow*/,
   model::RandomSource& aRandom)
 {
-  inFlight_ = false;
+  pace_.End();
   if (!aResult) {
-    Fail(aResult.Error(), aNow, aRandom);
+    if (aResult.Error().kind_ == runtime::LogErrorKind::Trimmed) {
+      // The newest record of each key outlives the others.
+      positioned_ = false;
+    } else {
+      pace_.Failed(aResult.Error(), aNow, aRandom);
+    }
     return {};
   }
-  if (!logAvailable_) {
-    events_.Add(runtime::LogEvent::LogAvailable,
-                "next offset " + std::to_string(aResult->next_.Value()));
-  }
-  logAvailable_ = true;
+  pace_.Succeeded(aResult->next_);
   positioned_ = true;
-  backoff_ = std::chrono::milliseconds(0);
   next_ = aResult->resume_;
   // Versions rise with the offsets, so that only the last usable record needs decoding.
   const auto& records = aResult->records_;
@@ -84,7 +66,7 @@
     return TakeRecord(aRecord);
   });
   if (!aResult->records_.empty()) {
-    notBefore_ = aNow + kReadGap;
+    pace_.PauseUntil(aNow + kReadGap);
   }
   std::vector<DistributionEvent> out;
   if (newest_ && newest_->version_ > reported_) {
@@ -93,7 +75,7 @@
   }
   if (next_ >= aResult->next_ && newest_) {
     out.emplace_back(decisions::LogTailReached{});
-    mode_ = mode_ == Mode::Tail ? Mode::Off : mode_;
+    pace_.TailReached();
   }
   return out;
 }
@@ -117,23 +99,4 @@
   return true;
 }
 
-void OperatorConfigSource::Fail(const runtime::LogError& aError,
-                                model::TimePoint aNow,
-                                model::RandomSource& aRandom)
-{
-  if (aError.kind_ == runtime::LogErrorKind::Trimmed) {
-    // The newest record of each key outlives the others.
-    positioned_ = false;
-    return;
-  }
-  if (logAvailable_ || backoff_.count() == 0) {
-    events_.Add(runtime::LogEvent::LogUnavailable, aError.message_);
-  }
-  logAvailable_ = false;
-  backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMostBackoff);
-  // Jitter keeps readers from returning together after an outage.
-  std::uniform_int_distribution<std::int64_t> jitter(backoff_.count() / 2, backoff_.count());
-  notBefore_ = aNow + std::chrono::milliseconds(jitter(aRandom));
-}
-
 } // namespace hemlockproxy::daemon
--- a/packages/daemon/src/PublishedConfigSource.cpp
+++ b/packages/daemon/src/PublishedConfigSource.cpp
@@ -13,8 +13,7 @@
 constexpr const char* kStream = "config";
 constexpr std::chrono::milliseconds kLongPoll{ 20000 };
 constexpr std::size_t kBatchRecords = 256;
-constexpr std::chrono::milliseconds kFirstBackoff{ 200 };
-constexpr std::chrono::milliseconds kMostBackoff{ 5000 };
+constexpr ReadBackoff kBackoff{ std::chrono::milliseconds(200), std::chrono::milliseconds(5000) };
 
 decisions::ConfigReplay::Input Decode(const std::string& aBytes)
 {
@@ -30,25 +29,14 @@
 PublishedConfigSource::PublishedConfigSource(LogTicket aTicket, runtime::EventRing& aEvents)
   : ticket_(aTicket)
   , events_(aEvents)
+  , pace_(kBackoff, aEvents)
 {
 }
 
 void PublishedConfigSource::Start(const decisions::HandoverPtr& aHandover)
 {
   TakePeerState(aHandover);
-  mode_ = Mode::Continuous;
-}
-
-void PublishedConfigSource::Stop()
-{
-  mode_ = Mode::Off;
-}
-
-void PublishedConfigSource::ReadTail()
-{
-  if (mode_ == Mode::Off) {
-    mode_ = Mode::Tail;
-  }
+  pace_.Start();
 }
 
 void PublishedConfigSource::TakePeerState(const decisions::HandoverPtr& aHandover)
@@ -69,13 +57,12 @@
 
 std::optional<LogCommand> PublishedConfigSource::NextRead(model::TimePoint aNow)
 {
-  if (mode_ == Mode::Off || inFlight_ || aNow < notBefore_) {
+  if (!pace_.Begin(aNow)) {
     return std::nullopt;
   }
-  inFlight_ = true;
   // The first read after a failure returns at once, so that a recovered log is noticed without
   // waiting for a record.
-  const bool wait = mode_ == Mode::Continuous && logAvailable_;
+  const bool wait = pace_.IsContinuous() && pace_.LogAvailable();
   return LogReadCommand{ ticket_,
                          kStream,
                          replay_.NextOffset(),
@@ -89,16 +76,11 @@
   model::WallTime aWallNow,
   model::RandomSource& aRandom)
 {
-  inFlight_ = false;
+  pace_.End();
   std::vector<DistributionEvent> events;
   if (aResult) {
     ApplyBatch(*aResult, aWallNow, events);
-    if (!logAvailable_) {
-      events_.Add(runtime::LogEvent::LogAvailable,
-                  "next offset " + std::to_string(aResult->next_.Value()));
-    }
-    logAvailable_ = true;
-    backoff_ = std::chrono::milliseconds(0);
+    pace_.Succeeded(aResult->next_);
     return events;
   }
   if (aResult.Error().kind_ == runtime::LogErrorKind::Trimmed) {
@@ -108,22 +90,10 @@
     replay_.HistoryTrimmed(aResult.Error().first_);
     return events;
   }
-  if (logAvailable_ || backoff_.count() == 0) {
-    events_.Add(runtime::LogEvent::LogUnavailable, aResult.Error().message_);
-  }
-  logAvailable_ = false;
-  BackOff(aNow, aRandom);
+  pace_.Failed(aResult.Error(), aNow, aRandom);
   return events;
 }
 
-void PublishedConfigSource::BackOff(model::TimePoint aNow, model::RandomSource& aRandom)
-{
-  backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMostBackoff);
-  // Jitter keeps readers from returning together after an outage.
-  std::uniform_int_distribution<std::int64_t> jitter(backoff_.count() / 2, backoff_.count());
-  notBefore_ = aNow + std::chrono::milliseconds(jitter(aRandom));
-}
-
 void PublishedConfigSource::ApplyBatch(const runtime::LogBatch& aBatch,
                                        model::WallTime aWallNow,
                                        std::vector<DistributionEvent>& aEvents)
@@ -135,9 +105,7 @@
   ReportVersion(aEvents);
   if (replay_.NextOffset() >= aBatch.next_ && !replay_.IsHistoryMissing()) {
     aEvents.emplace_back(decisions::LogTailReached{});
-    if (mode_ == Mode::Tail) {
-      mode_ = Mode::Off;
-    }
+    pace_.TailReached();
   }
 }
 
