--- a/packages/daemon/src/ControlActions.cpp
+++ b/packages/daemon/src/ControlActions.cpp
@@ -153,10 +153,9 @@
   dirty_ = true;
   Publish();
   metrics_.Add(Counter::VersionsEnforced);
+  const auto now = std::chrono::floor<std::chrono::seconds>(model::WallNow());
   metrics_.Set(runtime::Gauge::ConfigEnforcedAt,
-               static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(
-                                            std::chrono::system_clock::now().time_since_epoch())
-                                            .count()));
+               static_cast<std::uint64_t>(now.time_since_epoch().count()));
   events_.Add(runtime::LogEvent::ConfigEnforced,
               "version " + std::to_string(configuration.version_.Value()) + ", " +
                 std::to_string(configuration.content_.size()) + " services");
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -35,11 +35,6 @@
 constexpr LogTicket kMembersPutTicket = 4;
 constexpr LogTicket kFirstClaimsTicket = 100;
 
-model::WallTime WallNow()
-{
-  return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-}
-
 model::TimePoint Now()
 {
   return std::chrono::steady_clock::now();
@@ -255,7 +250,7 @@
     }
     return;
   }
-  for (const auto& event : source_->Finish(aResult.result_, Now(), WallNow(), random_)) {
+  for (const auto& event : source_->Finish(aResult.result_, Now(), model::WallNow(), random_)) {
     Distribution(event);
   }
   dirty_ = true;
--- a/packages/daemon/src/Delivery.cpp
+++ b/packages/daemon/src/Delivery.cpp
@@ -1,8 +1,9 @@
 #include "impl/Delivery.h"
 
+#include "hemlockproxy/model/Number.h"
+
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace hemlockproxy::daemon::impl {
 
@@ -50,16 +51,16 @@
 
 } // namespace
 
+std::optional<std::chrono::milliseconds> ReadTimeLeft(const runtime::RequestHeader& aHeader)
+{
+  const auto value = model::ParseNumber<std::int64_t>(aHeader[kDeadlineField]);
+  return value && *value >= 0 ? std::optional(std::chrono::milliseconds(*value)) : std::nullopt;
+}
+
 std::chrono::milliseconds DeadlineOf(const runtime::RequestHeader& aHeader,
                                      std::chrono::milliseconds aMost)
 {
-  const auto text = aHeader[kDeadlineField];
-  std::int64_t value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (text.empty() || error != std::errc() || end != text.data() + text.size() || value < 0) {
-    return aMost;
-  }
-  return std::min(std::chrono::milliseconds(value), aMost);
+  return std::min(ReadTimeLeft(aHeader).value_or(aMost), aMost);
 }
 
 runtime::HttpResult<model::Unit> ReadPrefix(runtime::HttpExchange& aExchange,
--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -3,6 +3,7 @@
 #include "impl/AttemptTimer.h"
 #include "impl/Delivery.h"
 #include "impl/EntryBodies.h"
+#include "impl/HeldBody.h"
 #include "impl/PeerProber.h"
 #include "impl/RequestLog.h"
 
@@ -86,13 +87,13 @@
   return aPath == decisions::PeerPath::Open;
 }
 
-std::optional<model::Duration> ReadWait(const runtime::ResponseHeader& aHeader)
+/// Returns the number at the start of a field that another daemon wrote.
+std::optional<std::uint32_t> CountIn(const runtime::ResponseHeader& aHeader, const char* aField)
 {
-  const auto text = aHeader[kWaitField];
-  std::uint32_t wait = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), wait);
-  return error == std::errc() ? std::optional<model::Duration>(std::chrono::milliseconds(wait))
-                              : std::nullopt;
+  const auto text = aHeader[aField];
+  std::uint32_t count = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
+  return error == std::errc() ? std::optional(count) : std::nullopt;
 }
 
 std::size_t LiveEntries(const TrafficView& aView)
@@ -647,29 +648,19 @@
     return reply;
   }
   const auto outcome = reply.header_[kOutcomeField];
-  std::uint32_t load = 0;
-  const auto loadText = reply.header_[kLoadField];
-  if (const auto [end, error] =
-        std::from_chars(loadText.data(), loadText.data() + loadText.size(), load);
-      error == std::errc()) {
-    reply.load_ = load;
-  }
+  reply.load_ = CountIn(reply.header_, kLoadField);
   if (outcome != ToString(RequestOutcome::Answered)) {
     const auto reason = reply.header_[kReasonField];
     const bool notRun = outcome == ToString(RequestOutcome::NotRun);
     UpstreamReply refusal = Refused(notRun ? RequestOutcome::NotRun : RequestOutcome::Unknown,
                                     ParseReason({ reason.data(), reason.size() }));
     refusal.load_ = reply.load_;
-    refusal.expectedWait_ = ReadWait(reply.header_);
+    if (const auto wait = CountIn(reply.header_, kWaitField)) {
+      refusal.expectedWait_ = std::chrono::milliseconds(*wait);
+    }
     const auto evidence = reply.header_[kQuarantineField];
     refusal.evidence_ = FromHex({ evidence.data(), evidence.size() });
-    // The rejection's short body is read, so that the connection can be used again.
-    char rest[256];
-    while (true) {
-      if (const auto read = reply.body_->Read(rest, sizeof rest); !read || *read == 0) {
-        break;
-      }
-    }
+    impl::DropRest(*reply.body_);
     return refusal;
   }
   RemoveHemlockFields(reply.header_);
--- a/packages/daemon/src/HeldBody.cpp
+++ b/packages/daemon/src/HeldBody.cpp
@@ -1,6 +1,8 @@
 #include "impl/HeldBody.h"
 
-#include <charconv>
+#include "hemlockproxy/model/Number.h"
+
+#include <array>
 
 namespace hemlockproxy::daemon::impl {
 
@@ -8,13 +10,7 @@
 
 std::optional<std::size_t> BodyLengthOf(const runtime::ResponseHeader& aHeader)
 {
-  const auto text = aHeader[http::field::content_length];
-  std::size_t length = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
-  if (text.empty() || error != std::errc() || end != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return length;
+  return model::ParseNumber<std::size_t>(aHeader[http::field::content_length]);
 }
 
 runtime::HttpResult<std::string> ReadWhole(runtime::BodySource& aBody, std::size_t aLength)
@@ -36,4 +32,14 @@
   return body;
 }
 
+void DropRest(runtime::BodySource& aBody)
+{
+  std::array<char, 256> part{};
+  while (true) {
+    if (const auto read = aBody.Read(part.data(), part.size()); !read || *read == 0) {
+      return;
+    }
+  }
+}
+
 } // namespace hemlockproxy::daemon::impl
--- a/packages/daemon/src/HemlockDialect.cpp
+++ b/packages/daemon/src/HemlockDialect.cpp
@@ -1,7 +1,7 @@
 #include "hemlockproxy/daemon/Dialect.h"
 #include "hemlockproxy/daemon/Upstream.h"
 
-#include <charconv>
+#include "impl/Delivery.h"
 
 namespace hemlockproxy::daemon {
 
@@ -16,12 +16,7 @@
     const runtime::RequestHeader& aHeader) const override
   {
     CallerRequest request;
-    const auto text = aHeader[kDeadlineField];
-    std::int64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (!text.empty() && error == std::errc() && end == text.data() + text.size() && value >= 0) {
-      request.timeLeft_ = std::chrono::milliseconds(value);
-    }
+    request.timeLeft_ = impl::ReadTimeLeft(aHeader);
     return request;
   }
 
--- a/packages/daemon/src/HttpUpstream.cpp
+++ b/packages/daemon/src/HttpUpstream.cpp
@@ -1,6 +1,7 @@
 #include "hemlockproxy/daemon/HttpUpstream.h"
 
 #include "impl/Delivery.h"
+#include "impl/HeldBody.h"
 
 #include <array>
 
@@ -184,12 +185,7 @@
   if (aMeaning == ResponseMeaning::Foreign) {
     return Refused(RequestOutcome::Unknown, RefusalReason::UpstreamFailed);
   }
-  std::array<char, 256> rest{};
-  while (true) {
-    if (const auto read = aConnection->Read(rest.data(), rest.size()); !read || *read == 0) {
-      break;
-    }
-  }
+  impl::DropRest(*aConnection);
   aPool.Release(aAddress, std::move(aConnection));
   return Refused(RequestOutcome::NotRun,
                  aMeaning == ResponseMeaning::NotRun ? RefusalReason::BackendRefused
--- a/packages/daemon/src/PeerProber.cpp
+++ b/packages/daemon/src/PeerProber.cpp
@@ -1,5 +1,7 @@
 #include "impl/PeerProber.h"
 
+#include "hemlockproxy/daemon/Upstream.h"
+
 #include <utility>
 
 namespace hemlockproxy::daemon::impl {
@@ -69,17 +71,14 @@
 bool PeerProber::Probe(const model::Address& aAddress)
 {
   const auto deadline = std::chrono::steady_clock::now() + kProbeTimeout;
-  const auto left = [deadline] {
-    return std::chrono::ceil<std::chrono::milliseconds>(
-      std::max(model::Duration::zero(), deadline - std::chrono::steady_clock::now()));
-  };
   // Always a new connection: an idle one may be older than the cut.
   auto connection = runtime::HttpConnection::Connect(*io_, aAddress, kProbeTimeout, localIp_);
   if (!connection) {
     return false;
   }
   const auto header = runtime::MakeRequest(http::verb::options, kProbeTarget, aAddress);
-  if (!(*connection)->Send(header, {}, left()) || !(*connection)->ReadHeader(left())) {
+  if (!(*connection)->Send(header, {}, TimeLeft(deadline)) ||
+      !(*connection)->ReadHeader(TimeLeft(deadline))) {
     return false;
   }
   pool_.Release(aAddress, *std::move(connection));
--- a/packages/daemon/src/ResumingBody.cpp
+++ b/packages/daemon/src/ResumingBody.cpp
@@ -1,6 +1,6 @@
 #include "hemlockproxy/daemon/ResumingBody.h"
 
-#include <charconv>
+#include "hemlockproxy/model/Number.h"
 
 namespace hemlockproxy::daemon {
 
@@ -8,16 +8,6 @@
 
 namespace http = runtime::http;
 
-std::optional<std::uint64_t> ParseNumber(std::string_view aText)
-{
-  std::uint64_t value = 0;
-  const auto [end, error] = std::from_chars(aText.data(), aText.data() + aText.size(), value);
-  if (aText.empty() || error != std::errc() || end != aText.data() + aText.size()) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 std::string_view Field(const runtime::ResponseHeader& aHeader, http::field aField)
 {
   const auto value = aHeader[aField];
@@ -37,8 +27,8 @@
   if (dash == std::string_view::npos || slash == std::string_view::npos || slash < dash) {
     return std::nullopt;
   }
-  const auto first = ParseNumber(aText.substr(0, dash));
-  const auto last = ParseNumber(aText.substr(dash + 1, slash - dash - 1));
+  const auto first = model::ParseNumber<std::uint64_t>(aText.substr(0, dash));
+  const auto last = model::ParseNumber<std::uint64_t>(aText.substr(dash + 1, slash - dash - 1));
   if (!first || !last || *last < *first) {
     return std::nullopt;
   }
@@ -64,7 +54,8 @@
     point.last_ = range->second;
     return point;
   }
-  const auto length = ParseNumber(Field(aHeader, http::field::content_length));
+  const auto length =
+    model::ParseNumber<std::uint64_t>(Field(aHeader, http::field::content_length));
   if (aHeader.result() != http::status::ok ||
       Field(aHeader, http::field::accept_ranges) != "bytes" || !length || *length == 0) {
     return std::nullopt;
--- a/packages/daemon/src/impl/Delivery.h
+++ b/packages/daemon/src/impl/Delivery.h
@@ -5,12 +5,17 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace hemlockproxy::daemon::impl {
 
 inline constexpr std::chrono::milliseconds kDefaultDeadline{ 15000 };
 
+/// Returns the time that a request's deadline field leaves; nothing without a valid field.
+[[nodiscard]] std::optional<std::chrono::milliseconds> ReadTimeLeft(
+  const runtime::RequestHeader& aHeader);
+
 /// Returns the time that a request's deadline field leaves, at most aMost; aMost where there is
 /// none.
 [[nodiscard]] std::chrono::milliseconds DeadlineOf(const runtime::RequestHeader& aHeader,
--- a/packages/runtime/src/EventRing.cpp
+++ b/packages/runtime/src/EventRing.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-model::WallTime WallNow()
-{
-  return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-}
-
 log4cxx::LoggerPtr RootLogger()
 {
   static const log4cxx::LoggerPtr kLogger = log4cxx::Logger::getRootLogger();
@@ -49,7 +44,7 @@
   }
   const std::lock_guard lock(mutex_);
   model::Event event{
-    clock_.Tick(WallNow()), std::string(part), std::string(kind), std::move(aDetail)
+    clock_.Tick(model::WallNow()), std::string(part), std::string(kind), std::move(aDetail)
   };
   const model::HybridTimestamp stamp = event.stamp_;
   events_.push_back(std::move(event));
@@ -63,13 +58,13 @@
 model::HybridTimestamp EventRing::Stamp()
 {
   const std::lock_guard lock(mutex_);
-  return clock_.Tick(WallNow());
+  return clock_.Tick(model::WallNow());
 }
 
 void EventRing::Observe(model::HybridTimestamp aRemote)
 {
   const std::lock_guard lock(mutex_);
-  clock_.Observe(aRemote, WallNow());
+  clock_.Observe(aRemote, model::WallNow());
 }
 
 std::vector<model::Event> EventRing::After(model::HybridTimestamp aStamp) const
