--- /dev/null
+++ b/packages/daemon/src/impl/EntryCall.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "hemlockproxy/daemon/EntryService.h"
+#include "impl/EntryBodies.h"
+#include "impl/RequestLog.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hemlockproxy::daemon {
+
+/// One request on its way through the entry.
+struct EntryService::Call
+{
+  UpstreamRequest request_;
+  /// The body after prefix_; nothing when the body is held whole.
+  std::optional<impl::TrackedBody> rest_;
+  std::optional<impl::LimitedBody> limited_;
+  /// The longest request body, in bytes.
+  std::uint64_t bodyLimit_ = 0;
+  std::string prefix_;
+  CancelSource cancel_;
+  decisions::Repeatable repeatable_ = decisions::Repeatable::No;
+  Target* target_ = nullptr;
+  std::vector<model::DaemonId> tried_;
+  /// The endpoint of the last attempt.
+  std::optional<model::DaemonId> endpoint_;
+  std::uint32_t resumes_ = 0;
+  decisions::AttemptState state_;
+  /// Learns from all attempts on the route of this request.
+  std::shared_ptr<decisions::AttemptTimeout> timeout_;
+  /// The retry that was granted when the current attempt was interrupted.
+  std::optional<decisions::RetryElsewhere> granted_;
+  /// The shortest wait that an owner told when it rejected the request.
+  std::optional<model::Duration> expectedWait_;
+  /// Whether an attempt of this request was interrupted.
+  bool interrupted_ = false;
+  model::TimePoint started_;
+
+  /// The configuration version by which the request is handled.
+  model::ConfigVersion version_;
+
+  [[nodiscard]] impl::RequestFacts Facts(model::TimePoint aNow) const
+  {
+    impl::RequestFacts facts;
+    facts.id_ = request_.id_;
+    facts.route_ = request_.work_.label_;
+    facts.service_ = request_.service_.Value();
+    facts.endpoint_ = endpoint_ ? std::string_view(endpoint_->Value()) : std::string_view();
+    facts.attempts_ = state_.attempts_;
+    facts.redirects_ = state_.redirects_;
+    facts.elapsed_ = aNow - started_;
+    facts.version_ = version_;
+    return facts;
+  }
+
+  /// Returns whether a part of the body was taken that cannot be sent again.
+  [[nodiscard]] bool BodyUsed() const noexcept { return rest_ && rest_->Used(); }
+};
+
+} // namespace hemlockproxy::daemon
--- a/packages/decisions/include/hemlockproxy/decisions/PeerReach.h
+++ b/packages/decisions/include/hemlockproxy/decisions/PeerReach.h
@@ -47,6 +47,12 @@
   Silent,
 };
 
+/// Returns whether a peer gets new requests.
+[[nodiscard]] constexpr bool IsOpen(PeerPath aPath) noexcept
+{
+  return aPath == PeerPath::Open;
+}
+
 struct PeerChange
 {
   model::DaemonId id_;
--- a/packages/decisions/src/PeerReach.cpp
+++ b/packages/decisions/src/PeerReach.cpp
@@ -124,7 +124,7 @@
 {
   return static_cast<std::size_t>(
     std::count_if(states_.begin(), states_.end(), [](const auto& aEntry) {
-      return aEntry.second.path_ != PeerPath::Open;
+      return !IsOpen(aEntry.second.path_);
     }));
 }
 
