Write metrics to the last digit; find a series without copying its labels

A counter above a million was written as 1.23457e+06, so that its rate read from the page was wrong; the sum of a histogram had the same fault before this change. MetricText keeps all digits of whole numbers below 10^15. Two tests fail on the former code.

MetricFamily copied the labels into strings for each count, on the path of each request; the map compares them in place now, in the same order.

--- a/packages/runtime/include/hemlockproxy/runtime/MetricFamily.h
+++ b/packages/runtime/include/hemlockproxy/runtime/MetricFamily.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <initializer_list>
 #include <iosfwd>
@@ -11,6 +12,9 @@
 
 namespace hemlockproxy::runtime {
 
+/// Returns a value as text; whole numbers below 10^15 keep all their digits.
+[[nodiscard]] std::string MetricText(double aValue);
+
 /// Values of one metric, told apart by labels. All functions may be called from any thread.
 class MetricFamily
 {
@@ -35,10 +39,22 @@
 private:
   using Key = std::vector<std::string>;
 
+  /// Compares keys with labels, so that a series is found without a copy of its labels.
+  struct LessKey
+  {
+    using is_transparent = void;
+
+    template <typename Left, typename Right>
+    bool operator()(const Left& aLeft, const Right& aRight) const noexcept
+    {
+      return std::lexicographical_compare(aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end());
+    }
+  };
+
   [[nodiscard]] double& Find(Labels aLabels);
 
   mutable std::mutex mutex_;
-  std::map<Key, double, std::less<>> series_;
+  std::map<Key, double, LessKey> series_;
 };
 
 } // namespace hemlockproxy::runtime
--- a/packages/runtime/src/MetricFamily.cpp
+++ b/packages/runtime/src/MetricFamily.cpp
@@ -1,7 +1,8 @@
 #include "hemlockproxy/runtime/MetricFamily.h"
 
 #include <algorithm>
-#include <ostream>
+#include <limits>
+#include <sstream>
 
 namespace hemlockproxy::runtime {
 
@@ -24,12 +25,20 @@
 
 } // namespace
 
+std::string MetricText(double aValue)
+{
+  std::ostringstream out;
+  out.precision(std::numeric_limits<double>::digits10);
+  out << aValue;
+  return out.str();
+}
+
 double& MetricFamily::Find(Labels aLabels)
 {
-  Key key(aLabels.begin(), aLabels.end());
-  if (const auto found = series_.find(key); found != series_.end()) {
+  if (const auto found = series_.find(aLabels); found != series_.end()) {
     return found->second;
   }
+  Key key(aLabels.begin(), aLabels.end());
   if (series_.size() >= kMostSeries) {
     std::fill(key.begin(), key.end(), "other");
   }
@@ -51,7 +60,7 @@
 double MetricFamily::Get(Labels aLabels) const
 {
   const std::lock_guard lock(mutex_);
-  const auto found = series_.find(Key(aLabels.begin(), aLabels.end()));
+  const auto found = series_.find(aLabels);
   return found == series_.end() ? 0 : found->second;
 }
 
@@ -69,7 +78,7 @@
       aOut << '"';
       separator = ',';
     }
-    aOut << "} " << value << '\n';
+    aOut << "} " << MetricText(value) << '\n';
   }
 }
 
--- a/packages/runtime/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -174,7 +174,8 @@
       out << "\"} " << total << '\n';
     }
     out << "hemlockproxy_" << kTimings[i].name_ << "_sum "
-        << static_cast<double>(histograms_->sumMicros_[i].load()) / kMicrosPerSecond << '\n'
+        << MetricText(static_cast<double>(histograms_->sumMicros_[i].load()) / kMicrosPerSecond)
+        << '\n'
         << "hemlockproxy_" << kTimings[i].name_ << "_count " << total << '\n';
   }
   return out.str();
--- a/packages/runtime/tests/MetricsTest.cpp
+++ b/packages/runtime/tests/MetricsTest.cpp
@@ -34,6 +34,29 @@
   STRCMP_EQUAL("name{label=\"a\\\"b\\\\c\\nd\"} 1\n", out.str().c_str());
 }
 
+// Guards against a counter that seems to stand still for a thousand requests once it has passed a
+// million.
+TEST(Metrics, WritesLargeCountsToTheLastDigit)
+{
+  MetricFamily family;
+  family.Add({ "a" }, 1);
+  family.Set({ "a" }, 123456789012);
+  family.Add({ "a" }, 1);
+  std::ostringstream out;
+  family.Write(out, "name", { "label" });
+  STRCMP_EQUAL("name{label=\"a\"} 123456789013\n", out.str().c_str());
+}
+
+// Guards against the same fault in the time that a histogram adds up.
+TEST(Metrics, WritesLongTimesToTheMillisecond)
+{
+  Metrics metrics;
+  metrics.Record(Timing::EntryRequest, std::chrono::seconds(1234567));
+  metrics.Record(Timing::EntryRequest, std::chrono::milliseconds(5));
+  CHECK_TRUE(metrics.PrometheusText().find("entry_request_seconds_sum 1234567.005\n") !=
+             std::string::npos);
+}
+
 // Guards against memory that grows with each route that ever was.
 TEST(Metrics, BoundsTheSeriesOfAFamily)
 {
