Count dropped log lines as a metric family like all others

AdminServer wrote the lines of log_lines_dropped_total by hand beside the families that have labels. It sets a family now when the page is fetched; the metric's name, labels and values stay, its place on the page changes.

--- a/packages/daemon/src/AdminServer.cpp
+++ b/packages/daemon/src/AdminServer.cpp
@@ -89,26 +89,19 @@
     http::status::ok, StatusText(aPorts.name_, *aPorts.status_->Load()), "application/yaml");
 }
 
-/// The log counts its dropped lines itself, since its thread also reports them as a line.
-std::string DroppedLinesText(const runtime::StructuredLog& aLines)
+void HandleMetrics(const AdminPorts& aPorts, runtime::HttpExchange& aExchange)
 {
   using runtime::LogClass;
-  const std::string name = "hemlockproxy_log_lines_dropped_total";
-  std::string text = "# HELP " + name + " Lines of the structured log that were dropped.\n# TYPE " +
-                     name + " counter\n";
+  // The log counts its dropped lines itself, since its thread also reports them as a line.
   for (const auto& [logClass, label] : { std::pair(LogClass::Change, "change"),
                                          std::pair(LogClass::Failure, "failure"),
                                          std::pair(LogClass::Success, "success") }) {
-    text += name + "{class=\"" + label + "\"} " + std::to_string(aLines.Dropped(logClass)) + "\n";
+    aPorts.metrics_->Set(runtime::Family::LinesDropped,
+                         { label },
+                         static_cast<double>(aPorts.lines_->Dropped(logClass)));
   }
-  return text;
-}
-
-void HandleMetrics(const AdminPorts& aPorts, runtime::HttpExchange& aExchange)
-{
-  (void)aExchange.SendResponse(http::status::ok,
-                               aPorts.metrics_->PrometheusText() + DroppedLinesText(*aPorts.lines_),
-                               "text/plain; version=0.0.4");
+  (void)aExchange.SendResponse(
+    http::status::ok, aPorts.metrics_->PrometheusText(), "text/plain; version=0.0.4");
 }
 
 void HandleEvents(const AdminPorts& aPorts, runtime::HttpExchange& aExchange)
--- a/packages/runtime/include/hemlockproxy/runtime/Metrics.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Metrics.h
@@ -73,6 +73,8 @@
   ConnectionsOpened,
   /// Members of the own failure domain, by state.
   Members,
+  /// Lines of the structured log that were dropped, by class.
+  LinesDropped,
   Count,
 };
 
--- a/packages/runtime/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -82,6 +82,9 @@
       "counter",
       { "peer", "why" } },
     { { "members", "Members of the own failure domain." }, "gauge", { "state" } },
+    { { "log_lines_dropped_total", "Lines of the structured log that were dropped." },
+      "counter",
+      { "class" } },
   } };
   return kFamilies;
 }
