Share the loop of tests that run servers

Four test files ran a server and a client in a fiber loop on a thread of their own, each with its own copy of the loop; only HttpTest handed a failed check to the thread that CppUTest watches, in the others it would have ended the whole runner. RunInLoop does it for all; CountOf stood twice in one package. All assertions stay as they were.

--- a/packages/daemon/tests/PeerProberTest.cpp
+++ b/packages/daemon/tests/PeerProberTest.cpp
@@ -2,8 +2,7 @@
 
 #include <boost/fiber/operations.hpp>
 
-#include <thread>
-#include <vector>
+#include "TestLoop.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -23,19 +22,15 @@
 void WithPeer(const runtime::HttpServer::Handler& aHandler,
               const std::function<void(impl::PeerProber&, runtime::HttpServer&)>& aStory)
 {
-  std::thread loop([&] {
-    const auto io = std::make_shared<runtime::IoContext>(1);
-    runtime::RunFiberLoop(io, [&] {
-      auto server = runtime::HttpServer::Create(io, { "127.0.0.1", 0 }, {}, aHandler);
-      (*server)->Start();
-      runtime::HttpConnectionPool pool(io, 1, std::chrono::milliseconds(1000));
-      impl::PeerProber prober(io, pool, {}, [](const decisions::PeerChange&) {});
-      prober.SetPeers({ { DaemonId("peer"), (*server)->LocalAddress() } });
-      aStory(prober, **server);
-      (*server)->Stop();
-    });
+  runtime::RunInLoop([&](const runtime::IoContextPtr& aIo) {
+    auto server = runtime::HttpServer::Create(aIo, { "127.0.0.1", 0 }, {}, aHandler);
+    (*server)->Start();
+    runtime::HttpConnectionPool pool(aIo, 1, std::chrono::milliseconds(1000));
+    impl::PeerProber prober(aIo, pool, {}, [](const decisions::PeerChange&) {});
+    prober.SetPeers({ { DaemonId("peer"), (*server)->LocalAddress() } });
+    aStory(prober, **server);
+    (*server)->Stop();
   });
-  loop.join();
 }
 
 /// Ticks until the path to the peer is as asked; returns whether it became so in time.
--- a/packages/daemon/tests/UpstreamTest.cpp
+++ b/packages/daemon/tests/UpstreamTest.cpp
@@ -7,9 +7,7 @@
 #include "impl/EntryBodies.h"
 #include "impl/HeldBody.h"
 
-#include <boost/fiber/operations.hpp>
-
-#include <thread>
+#include "TestLoop.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -44,32 +42,28 @@
 UpstreamReply SendBody(runtime::BodySource& aBody)
 {
   UpstreamReply reply;
-  std::thread loop([&] {
-    const auto io = std::make_shared<runtime::IoContext>(1);
-    runtime::RunFiberLoop(io, [&] {
-      const auto handle = [](runtime::HttpExchange& aExchange) {
-        std::string body;
-        if (impl::ReadPrefix(aExchange, body, 1 << 20)) {
-          (void)aExchange.SendResponse(runtime::http::status::ok, "whole");
-        }
-      };
-      auto server = runtime::HttpServer::Create(io, model::Address{ "127.0.0.1", 0 }, {}, handle);
-      (*server)->Start();
-      runtime::HttpConnectionPool pool(io, 1, std::chrono::milliseconds(1000));
-      UpstreamRequest request;
-      request.header_.version(11);
-      request.header_.method(runtime::http::verb::post);
-      request.header_.target("/");
-      request.header_.set(runtime::http::field::host, "a");
-      request.header_.set(runtime::http::field::transfer_encoding, "chunked");
-      request.deadline_ = std::chrono::steady_clock::now() + std::chrono::seconds(2);
-      request.rest_ = &aBody;
-      reply = RunExchange(pool, (*server)->LocalAddress(), request, {});
-      reply.body_.reset();
-      (*server)->Stop();
-    });
+  runtime::RunInLoop([&](const runtime::IoContextPtr& aIo) {
+    const auto handle = [](runtime::HttpExchange& aExchange) {
+      std::string body;
+      if (impl::ReadPrefix(aExchange, body, 1 << 20)) {
+        (void)aExchange.SendResponse(runtime::http::status::ok, "whole");
+      }
+    };
+    auto server = runtime::HttpServer::Create(aIo, model::Address{ "127.0.0.1", 0 }, {}, handle);
+    (*server)->Start();
+    runtime::HttpConnectionPool pool(aIo, 1, std::chrono::milliseconds(1000));
+    UpstreamRequest request;
+    request.header_.version(11);
+    request.header_.method(runtime::http::verb::post);
+    request.header_.target("/");
+    request.header_.set(runtime::http::field::host, "a");
+    request.header_.set(runtime::http::field::transfer_encoding, "chunked");
+    request.deadline_ = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+    request.rest_ = &aBody;
+    reply = RunExchange(pool, (*server)->LocalAddress(), request, {});
+    reply.body_.reset();
+    (*server)->Stop();
   });
-  loop.join();
   return reply;
 }
 
--- a/packages/runtime/tests/HttpLimitsTest.cpp
+++ b/packages/runtime/tests/HttpLimitsTest.cpp
@@ -1,4 +1,3 @@
-#include "hemlockproxy/runtime/FiberLoop.h"
 #include "hemlockproxy/runtime/HttpServer.h"
 
 #include "../src/impl/HttpStream.h"
@@ -6,9 +5,11 @@
 
 #include <boost/fiber/operations.hpp>
 
-#include <thread>
 #include <vector>
 
+#include "CountOf.h"
+#include "TestLoop.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace hemlockproxy::runtime;
@@ -91,33 +92,20 @@
     }
     (void)aExchange.SendResponse(http::status::ok, "handled");
   };
-  std::thread loop([&] {
-    auto io = std::make_shared<IoContext>(1);
-    RunFiberLoop(io, [&] {
-      auto server = HttpServer::Create(io, Address{ "127.0.0.1", 0 }, aOptions, handle);
-      (*server)->Start();
-      RawCaller caller(*io, (*server)->LocalAddress());
-      for (const std::string& part : aParts) {
-        caller.Send(part);
-        boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
-      }
-      run.response_ = caller.ReadToEnd();
-      (*server)->Stop();
-    });
+  RunInLoop([&](const IoContextPtr& aIo) {
+    auto server = HttpServer::Create(aIo, Address{ "127.0.0.1", 0 }, aOptions, handle);
+    (*server)->Start();
+    RawCaller caller(*aIo, (*server)->LocalAddress());
+    for (const std::string& part : aParts) {
+      caller.Send(part);
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
+    }
+    run.response_ = caller.ReadToEnd();
+    (*server)->Stop();
   });
-  loop.join();
   return run;
 }
 
-std::size_t CountOf(const std::string& aText, const std::string& aPart)
-{
-  std::size_t count = 0;
-  for (auto at = aText.find(aPart); at != std::string::npos; at = aText.find(aPart, at + 1)) {
-    ++count;
-  }
-  return count;
-}
-
 bool StartsWith(const std::string& aText, const std::string& aStart)
 {
   return aText.rfind(aStart, 0) == 0;
@@ -233,23 +221,19 @@
 // Guards against bounds that stay as they were when the configuration changes.
 TEST(HttpLimits, NewBoundsHoldForTheNextRequest)
 {
-  std::thread loop([&] {
-    auto io = std::make_shared<IoContext>(1);
-    RunFiberLoop(io, [&] {
-      auto server = HttpServer::Create(io, Address{ "127.0.0.1", 0 }, {}, [](HttpExchange& aOne) {
-        (void)aOne.SendResponse(http::status::ok, "handled");
-      });
-      (*server)->Start();
-      (*server)->SetLimits(100, std::chrono::milliseconds(100), std::chrono::milliseconds(50));
-      RawCaller large(*io, (*server)->LocalAddress());
-      large.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Large: " + std::string(200, 'a') + "\r\n\r\n");
-      CHECK_TRUE(StartsWith(large.ReadToEnd(), "HTTP/1.1 431 "));
-      RawCaller idle(*io, (*server)->LocalAddress());
-      const auto started = std::chrono::steady_clock::now();
-      STRCMP_EQUAL("", idle.ReadToEnd().c_str());
-      CHECK_TRUE(std::chrono::steady_clock::now() - started < kReadTimeout);
-      (*server)->Stop();
+  RunInLoop([](const IoContextPtr& aIo) {
+    auto server = HttpServer::Create(aIo, Address{ "127.0.0.1", 0 }, {}, [](HttpExchange& aOne) {
+      (void)aOne.SendResponse(http::status::ok, "handled");
     });
+    (*server)->Start();
+    (*server)->SetLimits(100, std::chrono::milliseconds(100), std::chrono::milliseconds(50));
+    RawCaller large(*aIo, (*server)->LocalAddress());
+    large.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Large: " + std::string(200, 'a') + "\r\n\r\n");
+    CHECK_TRUE(StartsWith(large.ReadToEnd(), "HTTP/1.1 431 "));
+    RawCaller idle(*aIo, (*server)->LocalAddress());
+    const auto started = std::chrono::steady_clock::now();
+    STRCMP_EQUAL("", idle.ReadToEnd().c_str());
+    CHECK_TRUE(std::chrono::steady_clock::now() - started < kReadTimeout);
+    (*server)->Stop();
   });
-  loop.join();
 }
--- a/packages/runtime/tests/HttpTest.cpp
+++ b/packages/runtime/tests/HttpTest.cpp
@@ -1,10 +1,9 @@
-#include "hemlockproxy/runtime/FiberLoop.h"
 #include "hemlockproxy/runtime/HttpClient.h"
 #include "hemlockproxy/runtime/HttpServer.h"
 
 #include <boost/fiber/operations.hpp>
 
-#include <thread>
+#include "TestLoop.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -22,25 +21,13 @@
   const std::function<void(const IoContextPtr&, HttpServer&, HttpConnectionPool&)>& aClient,
   HttpServerOptions aOptions = {})
 {
-  std::exception_ptr failure;
-  std::thread loop([&] {
-    try {
-      auto io = std::make_shared<IoContext>(1);
-      RunFiberLoop(io, [&] {
-        auto server = HttpServer::Create(io, Address{ "127.0.0.1", 0 }, aOptions, aHandler);
-        (*server)->Start();
-        HttpConnectionPool pool(io, 4, kTimeout);
-        aClient(io, **server, pool);
-        (*server)->Stop();
-      });
-    } catch (...) {
-      failure = std::current_exception();
-    }
+  RunInLoop([&](const IoContextPtr& aIo) {
+    auto server = HttpServer::Create(aIo, Address{ "127.0.0.1", 0 }, aOptions, aHandler);
+    (*server)->Start();
+    HttpConnectionPool pool(aIo, 4, kTimeout);
+    aClient(aIo, **server, pool);
+    (*server)->Stop();
   });
-  loop.join();
-  if (failure) {
-    std::rethrow_exception(failure);
-  }
 }
 
 void EchoBody(HttpExchange& aExchange)
--- a/packages/runtime/tests/StructuredLogTest.cpp
+++ b/packages/runtime/tests/StructuredLogTest.cpp
@@ -9,6 +9,8 @@
 #include <thread>
 #include <unistd.h>
 
+#include "CountOf.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace hemlockproxy;
@@ -59,15 +61,6 @@
   int ends_[2] = {};
 };
 
-std::size_t CountOf(const std::string& aText, const std::string& aPart)
-{
-  std::size_t count = 0;
-  for (std::size_t at = 0; (at = aText.find(aPart, at)) != std::string::npos; ++at) {
-    ++count;
-  }
-  return count;
-}
-
 } // namespace
 
 TEST_GROUP(StructuredLog){
