Tell how late the traffic thread is and how far abandoned requests came

Adds the events traffic.late, traffic.in-time and owner.abandoned, the field stage of request.abandoned, and the metrics callers_left_total and traffic_delay_seconds.

--- a/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
@@ -87,12 +87,15 @@
   void RejectLeaving(runtime::HttpExchange& aExchange);
   /// Bounds the callers' requests as the configuration in force says.
   void ApplyCallerLimits();
+  /// Takes in how late the thread's timer ran.
+  void NoteDelay(model::Duration aDelay);
   void Main();
 
   runtime::IoContextPtr io_;
   const Adapters& adapters_;
   const TrafficViewSlot& views_;
   runtime::Metrics& metrics_;
+  runtime::EventRing& events_;
   Mailbox<Message> inbox_;
   OwnerService owner_;
   EntryService entry_;
@@ -104,6 +107,8 @@
   std::atomic<std::size_t> inProgress_{ 0 };
   /// The limits that are set on callerServer_.
   model::CallerLimits callerLimits_;
+  /// Whether the thread is reported as late.
+  bool late_ = false;
   std::atomic<decisions::DrainState> drainState_{ decisions::DrainState::Serving };
   std::atomic<bool> stopping_{ false };
   std::chrono::milliseconds stopLimit_{ 0 };
--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -249,6 +249,7 @@
   Refresh(view);
   Call call;
   call.started_ = std::chrono::steady_clock::now();
+  call.unread_ = aExchange.CallerClosed();
   if (UpstreamReply refusal = Admit(aExchange, *view, call);
       refusal.reason_ != RefusalReason::None) {
     Conclude(aExchange, call, std::move(refusal));
@@ -299,9 +300,13 @@
   if (aReply.outcome_ != RequestOutcome::Answered && impl::MayComeBack(aReply)) {
     retryAfter = decisions::RetryTime({}, aCall.expectedWait_, random_);
   }
+  const auto stage = impl::StageOf(aCall.unread_, aReply.outcome_);
+  if (aCall.cancel_.Cancelled()) {
+    metrics_.Add(runtime::Family::CallersLeft, { "entry", ToString(stage) });
+  }
   const auto log = [&](RequestEnd aEnd) {
     const auto facts = aCall.Facts(std::chrono::steady_clock::now());
-    impl::LogRequestEnd(options_.lines_, aEnd, facts, aReply, retryAfter);
+    impl::LogRequestEnd(options_.lines_, aEnd, stage, facts, aReply, retryAfter);
   };
   if (aReply.outcome_ != RequestOutcome::Answered) {
     const bool notRun = aReply.outcome_ == RequestOutcome::NotRun;
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -488,16 +488,16 @@
 void OwnerService::HandleForwarded(runtime::HttpExchange& aExchange)
 {
   const runtime::RequestHeader& received = aExchange.Request();
+  const auto started = std::chrono::steady_clock::now();
+  const bool unread = aExchange.CallerClosed();
   UpstreamRequest request;
   request.header_ = received;
   request.service_ = model::ServiceName(std::string(received[kServiceField]));
-  request.deadline_ =
-    std::chrono::steady_clock::now() + impl::DeadlineOf(received, impl::kDefaultDeadline);
+  request.deadline_ = started + impl::DeadlineOf(received, impl::kDefaultDeadline);
   request.callerService_ = model::ServiceName(std::string(received[kCallerField]));
   request.id_ = options_.dialect_->ReadCallerRequest(received).id_;
   const auto work = received[kClassField];
-  request.work_ =
-    WorkClassOf({ work.data(), work.size() }, std::chrono::steady_clock::now(), request.deadline_);
+  request.work_ = WorkClassOf({ work.data(), work.size() }, started, request.deadline_);
   request.evidence_ = FromHex(std::string(received[kQuarantineField]));
   runtime::RemoveHopByHopFields(request.header_);
   RemoveHemlockFields(request.header_);
@@ -518,6 +518,12 @@
   request.body_ = prefix;
   request.rest_ = aExchange.BodyDone() ? nullptr : &aExchange;
   UpstreamReply reply = Execute(request);
+  if (cancel.Cancelled()) {
+    const auto stage = impl::StageOf(unread, reply.outcome_);
+    metrics_.Add(runtime::Family::CallersLeft, { "owner", ToString(stage) });
+    impl::LogOwnerAbandoned(
+      options_.lines_, request.id_, stage, std::chrono::steady_clock::now() - started, admission_);
+  }
   if (reply.outcome_ != RequestOutcome::Answered) {
     impl::SendRefusal(aExchange, reply);
     return;
--- a/packages/daemon/src/RequestLog.cpp
+++ b/packages/daemon/src/RequestLog.cpp
@@ -24,8 +24,23 @@
 
 } // namespace
 
+const char* ToString(LeftStage aStage) noexcept
+{
+  constexpr std::array<const char*, 3> kNames = { "unread", "waiting", "sent" };
+  return kNames[static_cast<std::size_t>(aStage)];
+}
+
+LeftStage StageOf(bool aUnread, model::RequestOutcome aOutcome) noexcept
+{
+  if (aUnread) {
+    return LeftStage::Unread;
+  }
+  return aOutcome == model::RequestOutcome::NotRun ? LeftStage::Waiting : LeftStage::Sent;
+}
+
 void LogRequestEnd(runtime::StructuredLog* aLog,
                    RequestEnd aEnd,
+                   LeftStage aStage,
                    const RequestFacts& aFacts,
                    const UpstreamReply& aReply,
                    std::optional<std::chrono::milliseconds> aRetryAfter)
@@ -43,6 +58,9 @@
   if (aEnd == RequestEnd::Answered) {
     line.Add("status", std::uint64_t{ aReply.header_.result_int() });
   }
+  if (aEnd == RequestEnd::Abandoned) {
+    line.Add("stage", ToString(aStage));
+  }
   AddCounts(line, aFacts);
   if (aRetryAfter) {
     line.Add("retry_after_ms", model::Duration(*aRetryAfter));
@@ -113,4 +131,21 @@
                 .Add("running", std::uint64_t{ aRunning }));
 }
 
+void LogOwnerAbandoned(runtime::StructuredLog* aLog,
+                       std::string_view aId,
+                       LeftStage aStage,
+                       model::Duration aElapsed,
+                       const std::optional<decisions::Admission>& aAdmission)
+{
+  if (aLog == nullptr || !aLog->Wants(LogEvent::OwnerAbandoned)) {
+    return;
+  }
+  aLog->Write(aLog->Line(LogEvent::OwnerAbandoned)
+                .Add("id", aId)
+                .Add("stage", ToString(aStage))
+                .Add("elapsed_ms", aElapsed)
+                .Add("running", std::uint64_t{ aAdmission ? aAdmission->Running() : 0 })
+                .Add("queued", std::uint64_t{ aAdmission ? aAdmission->Queued() : 0 }));
+}
+
 } // namespace hemlockproxy::daemon::impl
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -13,6 +13,10 @@
 /// Without requests the thread wakes less often, since each wake-up costs the spin time.
 constexpr std::chrono::milliseconds kIdleInterval{ 100 };
 constexpr std::size_t kInboxMessages = 64;
+/// A thread that is this late takes a noticeable part of the callers' latency targets.
+constexpr std::chrono::milliseconds kLateDelay{ 100 };
+/// Well below kLateDelay, so that a thread that is about as late as that is reported once.
+constexpr std::chrono::milliseconds kInTimeDelay{ 20 };
 /// Longer than a backend server on the same instance takes for a short request, so that the thread
 /// is awake when the response comes.
 constexpr std::chrono::microseconds kSpin{ 200 };
@@ -86,6 +90,7 @@
   , adapters_(aAdapters)
   , views_(aViews)
   , metrics_(aMetrics)
+  , events_(aEvents)
   , inbox_(kInboxMessages)
   , owner_(io_,
            MakeOwnerOptions(aSettings, aAdapters, aLines),
@@ -197,6 +202,18 @@
     callerLimits_.headerBytes_, callerLimits_.headerTimeout_, callerLimits_.idleTimeout_);
 }
 
+void TrafficThread::NoteDelay(model::Duration aDelay)
+{
+  metrics_.Record(runtime::Timing::TrafficDelay, aDelay);
+  const bool late = aDelay >= (late_ ? kInTimeDelay : kLateDelay);
+  if (std::exchange(late_, late) == late) {
+    return;
+  }
+  const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(aDelay).count();
+  events_.Add(late ? runtime::LogEvent::TrafficLate : runtime::LogEvent::TrafficInTime,
+              "the traffic thread runs " + std::to_string(delay) + " ms late");
+}
+
 void TrafficThread::Start()
 {
   thread_ = std::thread([this] {
@@ -239,7 +256,10 @@
     return total;
   };
   while (!stopping_) {
-    boost::this_fiber::sleep_for(count() > 0 ? kCountInterval : kIdleInterval);
+    const auto wake =
+      std::chrono::steady_clock::now() + (count() > 0 ? kCountInterval : kIdleInterval);
+    boost::this_fiber::sleep_until(wake);
+    NoteDelay(std::chrono::steady_clock::now() - wake);
     ApplyCallerLimits();
     owner_.Tick();
     entry_.Tick();
--- a/packages/daemon/src/impl/EntryCall.h
+++ b/packages/daemon/src/impl/EntryCall.h
@@ -34,6 +34,8 @@
   std::optional<decisions::RetryElsewhere> granted_;
   /// The shortest wait that an owner told when it rejected the request.
   std::optional<model::Duration> expectedWait_;
+  /// Whether the caller had left before the request was handled.
+  bool unread_ = false;
   /// Whether an attempt of this request was interrupted.
   bool interrupted_ = false;
   model::TimePoint started_;
--- a/packages/daemon/src/impl/RequestLog.h
+++ b/packages/daemon/src/impl/RequestLog.h
@@ -9,6 +9,23 @@
 
 namespace hemlockproxy::daemon::impl {
 
+/// How far a request had come when its caller left.
+enum class LeftStage : std::uint8_t
+{
+  /// The caller had left before the daemon handled the request.
+  Unread,
+  /// No byte had been sent on.
+  Waiting,
+  /// Work had begun, or may have.
+  Sent,
+};
+
+/// Returns the stage as written in lines and metrics, such as "unread".
+[[nodiscard]] const char* ToString(LeftStage aStage) noexcept;
+
+/// Returns how far a request had come whose caller has left.
+[[nodiscard]] LeftStage StageOf(bool aUnread, model::RequestOutcome aOutcome) noexcept;
+
 /// What the entry's lines say of each request.
 struct RequestFacts
 {
@@ -35,9 +52,10 @@
   Abandoned,
 };
 
-/// Writes the line of a request's end. The log may be null.
+/// Writes the line of a request's end; the stage is that of an abandoned one. The log may be null.
 void LogRequestEnd(runtime::StructuredLog* aLog,
                    RequestEnd aEnd,
+                   LeftStage aStage,
                    const RequestFacts& aFacts,
                    const UpstreamReply& aReply,
                    std::optional<std::chrono::milliseconds> aRetryAfter);
@@ -64,4 +82,11 @@
                     model::Duration aElapsed,
                     std::size_t aRunning);
 
+/// Writes the line of a forwarded request whose caller has left.
+void LogOwnerAbandoned(runtime::StructuredLog* aLog,
+                       std::string_view aId,
+                       LeftStage aStage,
+                       model::Duration aElapsed,
+                       const std::optional<decisions::Admission>& aAdmission);
+
 } // namespace hemlockproxy::daemon::impl
--- a/packages/runtime/include/hemlockproxy/runtime/HttpServer.h
+++ b/packages/runtime/include/hemlockproxy/runtime/HttpServer.h
@@ -56,6 +56,9 @@
   /// Calls the function once when the caller closes its connection before the response is complete.
   /// The function runs on the loop's thread outside of the exchange's fiber and must not block.
   virtual void OnCallerClosed(std::function<void()> aFunction) = 0;
+  /// Returns whether the caller has closed its connection. Asks the system, so that a close that is
+  /// still unread counts, too; bytes of a body or of a next request hide it until they are read.
+  [[nodiscard]] virtual bool CallerClosed() = 0;
 
   /// Sends a complete response with a body held in memory.
   HttpResult<model::Unit> SendResponse(http::status aStatus,
--- a/packages/runtime/include/hemlockproxy/runtime/LogEvent.h
+++ b/packages/runtime/include/hemlockproxy/runtime/LogEvent.h
@@ -17,6 +17,7 @@
   // Requests, at the owner.
   OwnerRefused,
   OwnerFailed,
+  OwnerAbandoned,
   BackendCrashed,
   SuspectsReported,
   // What the process believes.
@@ -25,6 +26,8 @@
   EndpointLeft,
   EndpointWithdrawn,
   WorkDraining,
+  TrafficLate,
+  TrafficInTime,
   PeerSilent,
   PeerBack,
   DomainUnreachable,
--- a/packages/runtime/include/hemlockproxy/runtime/Metrics.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Metrics.h
@@ -71,6 +71,8 @@
   LogCalls,
   /// By the kind of the peer and why no idle connection was used.
   ConnectionsOpened,
+  /// Callers that left before their answer, by the part of the daemon and what was done by then.
+  CallersLeft,
   /// Members of the own failure domain, by state.
   Members,
   /// Lines of the structured log that were dropped, by class.
@@ -91,6 +93,8 @@
   Convergence,
   /// A call of the log, with the time that a read waits for records.
   LogCall,
+  /// How late the traffic thread runs its timer: what arrives waits about as long.
+  TrafficDelay,
   Count,
 };
 
--- a/packages/runtime/src/HttpServer.cpp
+++ b/packages/runtime/src/HttpServer.cpp
@@ -219,6 +219,11 @@
     WatchCaller();
   }
 
+  [[nodiscard]] bool CallerClosed() override
+  {
+    return !stream_.socket().is_open() || impl::PeerClosed(stream_.socket().native_handle());
+  }
+
 private:
   using Timer = impl::asio::basic_waitable_timer<std::chrono::steady_clock,
                                                  impl::asio::wait_traits<std::chrono::steady_clock>,
@@ -372,8 +377,7 @@
     stream_.socket().async_wait(
       tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code& aError) {
         self->waiting_ = false;
-        if (!aError && self->onClosed_ &&
-            impl::PeerClosed(self->stream_.socket().native_handle())) {
+        if (!aError && self->onClosed_ && self->CallerClosed()) {
           std::exchange(self->onClosed_, nullptr)();
         }
       });
--- a/packages/runtime/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -81,6 +81,9 @@
     { { "connections_opened_total", "Connections made, and why no idle one was used." },
       "counter",
       { "peer", "why" } },
+    { { "callers_left_total", "Callers that left before their answer." },
+      "counter",
+      { "part", "stage" } },
     { { "members", "Members of the own failure domain." }, "gauge", { "state" } },
     { { "log_lines_dropped_total", "Lines of the structured log that were dropped." },
       "counter",
@@ -95,6 +98,7 @@
   { "queue_wait_seconds", "Time in the owner's queue." },
   { "convergence_seconds", "Time from a publish record's append until its version is enforced." },
   { "log_call_seconds", "Time of a call of the log, with the wait of a read." },
+  { "traffic_delay_seconds", "How late the traffic thread runs its timer." },
 } };
 
 /// Bounds of the histograms in microseconds; logarithmic bins in between.
@@ -118,11 +122,10 @@
 
 struct Metrics::Histograms
 {
-  std::array<Histogram, static_cast<std::size_t>(Timing::Count)> cells_ = { MakeHistogram(),
-                                                                            MakeHistogram(),
-                                                                            MakeHistogram(),
-                                                                            MakeHistogram(),
-                                                                            MakeHistogram() };
+  std::array<Histogram, static_cast<std::size_t>(Timing::Count)> cells_ = {
+    MakeHistogram(), MakeHistogram(), MakeHistogram(),
+    MakeHistogram(), MakeHistogram(), MakeHistogram()
+  };
   std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(Timing::Count)> sumMicros_{};
 };
 
