Look for the caller's close before a request is passed on

Cause: a check that is older than the act. Entry and owner learn of a close by an event of the loop. Where a request waits unread, its close waits right behind it; the request's fiber then runs to its send without a turn of the loop in between, so that the event comes after the next hop has the request.

A request that was abandoned unread is dropped before it is parsed further. The new reason caller-left replaces deadline-too-short for these.

Ruled out: a late loop (no traffic.late), a watch that is not armed, the link alone (requests that waited in the link on kept connections: 2 of 1,186 callers had left).

What makes requests wait unread is not mended by this.

--- a/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
@@ -20,6 +20,10 @@
 
 namespace hemlockproxy::daemon {
 
+namespace impl {
+enum class LeftStage : std::uint8_t;
+}
+
 /// What the owner needs to know of its own daemon.
 struct OwnerOptions
 {
@@ -103,6 +107,8 @@
                                        const model::BackendReport& aBackend,
                                        UpstreamRequest& aRequest,
                                        UpstreamReply aReply);
+  /// Counts and logs a request whose caller has left.
+  void NoteCallerLeft(std::string_view aId, impl::LeftStage aStage, model::TimePoint aStarted);
   void StartTicker();
   [[nodiscard]] UpstreamReply Run(UpstreamRequest& aRequest);
   [[nodiscard]] UpstreamReply RunAdmitted(decisions::RequestId aId,
--- a/packages/daemon/include/hemlockproxy/daemon/Upstream.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Upstream.h
@@ -1,16 +1,15 @@
 #pragma once
 
+#include "hemlockproxy/daemon/CancelSource.h"
 #include "hemlockproxy/model/Clock.h"
 #include "hemlockproxy/model/Ids.h"
 #include "hemlockproxy/model/RequestOutcome.h"
 #include "hemlockproxy/runtime/Http.h"
 
 #include <chrono>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
-#include <utility>
 
 namespace hemlockproxy::daemon {
 
@@ -27,45 +26,6 @@
 inline constexpr const char* kCallerField = "Hemlock-Caller";
 inline constexpr const char* kKeyField = "Idempotency-Key";
 
-/// Cancels the work on a request when its caller has gone, or interrupts one attempt of it. Used on
-/// the traffic thread.
-class CancelSource
-{
-public:
-  /// Marks the request as cancelled and runs the action in force.
-  void Cancel()
-  {
-    cancelled_ = true;
-    RunAction();
-  }
-  /// Ends the current attempt; the request may go on elsewhere after StartAttempt.
-  void Interrupt()
-  {
-    interrupted_ = true;
-    RunAction();
-  }
-  void StartAttempt() noexcept { interrupted_ = false; }
-  /// Returns whether Interrupt would end something at the moment.
-  [[nodiscard]] bool HasAction() const noexcept { return static_cast<bool>(action_); }
-  /// Sets what a cancellation does at the moment; an empty function clears it.
-  void SetAction(std::function<void()> aAction) { action_ = std::move(aAction); }
-  [[nodiscard]] bool Cancelled() const noexcept { return cancelled_; }
-  /// Returns whether the current attempt is cancelled or interrupted.
-  [[nodiscard]] bool Stopped() const noexcept { return cancelled_ || interrupted_; }
-
-private:
-  void RunAction()
-  {
-    if (action_) {
-      std::exchange(action_, nullptr)();
-    }
-  }
-
-  bool cancelled_ = false;
-  bool interrupted_ = false;
-  std::function<void()> action_;
-};
-
 /// The part of a request body that is read before a request is sent on, in bytes. A request whose
 /// body fits can be sent again to another endpoint.
 inline constexpr std::size_t kReplayBytes = 64UL * 1024;
--- a/packages/daemon/src/EntryAttempts.cpp
+++ b/packages/daemon/src/EntryAttempts.cpp
@@ -105,6 +105,9 @@
 {
   Target& target = *aCall.target_;
   const auto started = std::chrono::steady_clock::now();
+  if (aCall.cancel_.Cancelled()) {
+    return { Refused(RequestOutcome::NotRun, RefusalReason::CallerLeft), false };
+  }
   if (started >= aCall.request_.deadline_) {
     return { Refused(RequestOutcome::NotRun, RefusalReason::DeadlineTooShort), false };
   }
--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -249,7 +249,8 @@
   Refresh(view);
   Call call;
   call.started_ = std::chrono::steady_clock::now();
-  call.unread_ = aExchange.CallerClosed();
+  call.cancel_.Follow(aExchange);
+  call.unread_ = call.cancel_.CheckStopped();
   if (UpstreamReply refusal = Admit(aExchange, *view, call);
       refusal.reason_ != RefusalReason::None) {
     Conclude(aExchange, call, std::move(refusal));
@@ -276,7 +277,9 @@
     aCall.limited_.emplace(aExchange, aCall.bodyLimit_ - aCall.prefix_.size());
     aCall.rest_.emplace(*aCall.limited_);
   }
-  aExchange.OnCallerClosed([&aCall] { aCall.cancel_.Cancel(); });
+  if (aCall.cancel_.Cancelled()) {
+    return Refused(RequestOutcome::NotRun, RefusalReason::CallerLeft);
+  }
   aCall.request_.cancel_ = &aCall.cancel_;
   aCall.target_->retries_->CountRequest(aCall.started_);
   aCall.state_.repeatable_ = aCall.repeatable_;
@@ -300,7 +303,7 @@
   if (aReply.outcome_ != RequestOutcome::Answered && impl::MayComeBack(aReply)) {
     retryAfter = decisions::RetryTime({}, aCall.expectedWait_, random_);
   }
-  const auto stage = impl::StageOf(aCall.unread_, aReply.outcome_);
+  const auto stage = aCall.unread_ ? impl::LeftStage::Unread : impl::StageOf(aReply.outcome_);
   if (aCall.cancel_.Cancelled()) {
     metrics_.Add(runtime::Family::CallersLeft, { "entry", ToString(stage) });
   }
--- a/packages/daemon/src/HttpUpstream.cpp
+++ b/packages/daemon/src/HttpUpstream.cpp
@@ -206,9 +206,11 @@
   }
   HttpConnectionPtr connection = *std::move(acquired);
   if (aRequest.cancel_ != nullptr) {
-    if (aRequest.cancel_->Stopped()) {
+    if (aRequest.cancel_->CheckStopped()) {
       aPool.Release(aAddress, std::move(connection));
-      return Refused(RequestOutcome::NotRun, RefusalReason::DeadlineTooShort);
+      return Refused(RequestOutcome::NotRun,
+                     aRequest.cancel_->Cancelled() ? RefusalReason::CallerLeft
+                                                   : RefusalReason::DeadlineTooShort);
     }
     aRequest.cancel_->SetAction([raw = connection.get()] { raw->Close(); });
   }
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -294,7 +294,7 @@
   }
   const auto now = std::chrono::steady_clock::now();
   const auto started = admission_->Finish(now, aId, FinishKind::Aborted);
-  Dispatch({ decisions::RejectRequest{ aId, RefusalReason::DeadlineTooShort } });
+  Dispatch({ decisions::RejectRequest{ aId, RefusalReason::CallerLeft } });
   Dispatch(started);
 }
 
@@ -408,6 +408,9 @@
 
 UpstreamReply OwnerService::Run(UpstreamRequest& aRequest)
 {
+  if (aRequest.cancel_->Cancelled()) {
+    return Refused(RequestOutcome::NotRun, RefusalReason::CallerLeft);
+  }
   const TrafficViewPtr view = views_.Load();
   Refresh(view);
   const std::optional<model::BackendReport> backend = registry_.Current();
@@ -487,15 +490,22 @@
 
 void OwnerService::HandleForwarded(runtime::HttpExchange& aExchange)
 {
-  const runtime::RequestHeader& received = aExchange.Request();
   const auto started = std::chrono::steady_clock::now();
-  const bool unread = aExchange.CallerClosed();
+  const runtime::RequestHeader& received = aExchange.Request();
   UpstreamRequest request;
+  request.id_ = options_.dialect_->ReadCallerRequest(received).id_;
+  CancelSource cancel;
+  cancel.Follow(aExchange);
+  request.cancel_ = &cancel;
+  if (cancel.CheckStopped()) {
+    NoteCallerLeft(request.id_, impl::LeftStage::Unread, started);
+    aExchange.Abort();
+    return;
+  }
   request.header_ = received;
   request.service_ = model::ServiceName(std::string(received[kServiceField]));
   request.deadline_ = started + impl::DeadlineOf(received, impl::kDefaultDeadline);
   request.callerService_ = model::ServiceName(std::string(received[kCallerField]));
-  request.id_ = options_.dialect_->ReadCallerRequest(received).id_;
   const auto work = received[kClassField];
   request.work_ = WorkClassOf({ work.data(), work.size() }, started, request.deadline_);
   request.evidence_ = FromHex(std::string(received[kQuarantineField]));
@@ -503,9 +513,6 @@
   RemoveHemlockFields(request.header_);
   request.header_.erase(http::field::expect);
 
-  CancelSource cancel;
-  aExchange.OnCallerClosed([&cancel] { cancel.Cancel(); });
-  request.cancel_ = &cancel;
   std::string prefix;
   const bool waitsForContinue = received.find(http::field::expect) != received.end();
   if (!waitsForContinue) {
@@ -519,10 +526,7 @@
   request.rest_ = aExchange.BodyDone() ? nullptr : &aExchange;
   UpstreamReply reply = Execute(request);
   if (cancel.Cancelled()) {
-    const auto stage = impl::StageOf(unread, reply.outcome_);
-    metrics_.Add(runtime::Family::CallersLeft, { "owner", ToString(stage) });
-    impl::LogOwnerAbandoned(
-      options_.lines_, request.id_, stage, std::chrono::steady_clock::now() - started, admission_);
+    NoteCallerLeft(request.id_, impl::StageOf(reply.outcome_), started);
   }
   if (reply.outcome_ != RequestOutcome::Answered) {
     impl::SendRefusal(aExchange, reply);
@@ -535,4 +539,13 @@
   (void)impl::Deliver(aExchange, reply);
 }
 
+void OwnerService::NoteCallerLeft(std::string_view aId,
+                                  impl::LeftStage aStage,
+                                  model::TimePoint aStarted)
+{
+  metrics_.Add(runtime::Family::CallersLeft, { "owner", ToString(aStage) });
+  impl::LogOwnerAbandoned(
+    options_.lines_, aId, aStage, std::chrono::steady_clock::now() - aStarted, admission_);
+}
+
 } // namespace hemlockproxy::daemon
--- a/packages/daemon/src/RequestLog.cpp
+++ b/packages/daemon/src/RequestLog.cpp
@@ -30,11 +30,8 @@
   return kNames[static_cast<std::size_t>(aStage)];
 }
 
-LeftStage StageOf(bool aUnread, model::RequestOutcome aOutcome) noexcept
+LeftStage StageOf(model::RequestOutcome aOutcome) noexcept
 {
-  if (aUnread) {
-    return LeftStage::Unread;
-  }
   return aOutcome == model::RequestOutcome::NotRun ? LeftStage::Waiting : LeftStage::Sent;
 }
 
--- a/packages/daemon/src/impl/RequestLog.h
+++ b/packages/daemon/src/impl/RequestLog.h
@@ -23,8 +23,8 @@
 /// Returns the stage as written in lines and metrics, such as "unread".
 [[nodiscard]] const char* ToString(LeftStage aStage) noexcept;
 
-/// Returns how far a request had come whose caller has left.
-[[nodiscard]] LeftStage StageOf(bool aUnread, model::RequestOutcome aOutcome) noexcept;
+/// Returns how far a request that was handled had come when its caller left.
+[[nodiscard]] LeftStage StageOf(model::RequestOutcome aOutcome) noexcept;
 
 /// What the entry's lines say of each request.
 struct RequestFacts
--- a/packages/decisions/src/AttemptResult.cpp
+++ b/packages/decisions/src/AttemptResult.cpp
@@ -10,8 +10,8 @@
                             ResponseKind aResponse) noexcept
 {
   if (aReason == RefusalReason::MalformedBody || aReason == RefusalReason::CallerFailed ||
-      aReason == RefusalReason::BodyTooLarge) {
-    // The caller's fault says nothing of the endpoint.
+      aReason == RefusalReason::BodyTooLarge || aReason == RefusalReason::CallerLeft) {
+    // What the caller does says nothing of the endpoint.
     return AttemptVerdict::Cancelled;
   }
   if (aOutcome == RequestOutcome::Unknown) {
--- a/packages/decisions/src/RetryPolicy.cpp
+++ b/packages/decisions/src/RetryPolicy.cpp
@@ -33,6 +33,7 @@
     case RefusalReason::BodyTooLarge:
     case RefusalReason::MalformedBody:
     case RefusalReason::CallerFailed:
+    case RefusalReason::CallerLeft:
       return true;
     default:
       return false;
--- a/packages/model/include/hemlockproxy/model/RequestOutcome.h
+++ b/packages/model/include/hemlockproxy/model/RequestOutcome.h
@@ -44,10 +44,12 @@
   MalformedBody,
   /// The caller's connection broke or stalled while the body was read.
   CallerFailed,
+  /// The caller closed its connection before its request was passed on.
+  CallerLeft,
 };
 
 /// The last value, for loops over all reasons.
-inline constexpr RefusalReason kLastRefusalReason = RefusalReason::CallerFailed;
+inline constexpr RefusalReason kLastRefusalReason = RefusalReason::CallerLeft;
 
 /// Returns the reason as sent in headers, such as "queue-full".
 [[nodiscard]] const char* ToString(RefusalReason aReason) noexcept;
--- a/packages/model/src/RequestOutcome.cpp
+++ b/packages/model/src/RequestOutcome.cpp
@@ -47,6 +47,8 @@
       return "malformed-body";
     case RefusalReason::CallerFailed:
       return "caller-failed";
+    case RefusalReason::CallerLeft:
+      return "caller-left";
   }
   return "unknown";
 }
