Drop idle connections to other daemons when they expire

Cause: the pool takes the newest idle connection first and looked at the age of one only when it took it, so that what a burst had opened stayed open for good at both ends, up to 32 for each of 63 daemons: 1,700 descriptors and 71 of 88 MB on an instance, which leaves nothing for the requests that wait.

Change: both services drop expired connections each second; an idle connection to another daemon is kept for 10 s, not 30, and 8 are kept for each, not 32.

Test: without DropExpired the pool keeps both connections of the test.

--- a/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
@@ -131,6 +131,7 @@
   decisions::RequestId lastId_;
   std::unordered_map<decisions::RequestId, Waiter*> waiting_;
   bool ticking_ = false;
+  model::TimePoint nextPoolCheck_{};
   /// Bytes of response bodies being read into memory.
   std::size_t heldBytes_ = 0;
 };
--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -16,8 +16,10 @@
 
 /// Shorter than the idle timeout of the daemons' servers, so that a reused connection is seldom
 /// closed meanwhile.
-constexpr std::chrono::milliseconds kForwardIdleTime{ 30000 };
-constexpr std::size_t kForwardIdleConnections = 32;
+constexpr std::chrono::milliseconds kForwardIdleTime{ 10000 };
+/// For each other daemon; with 1,000 of them idle connections would take most of a small instance's
+/// memory otherwise.
+constexpr std::size_t kForwardIdleConnections = 8;
 /// Bounds the memory for routes that are no longer in the configuration.
 constexpr std::size_t kMostTimeouts = 1024;
 /// The part of the shared retry limit that this daemon's own retries may use. The rest is left for
@@ -76,6 +78,7 @@
     return;
   }
   nextFigures_ = now + kFiguresInterval;
+  pool_.DropExpired();
   for (const auto& [service, target] : targets_) {
     if (target.retries_) {
       metrics_.Set(
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t kMostHeldBody = 4UL * 1024 * 1024;
 /// Bounds the memory for bodies that are being read.
 constexpr std::size_t kMostHeldBytes = 16UL * 1024 * 1024;
+/// A part of the idle time, so that an idle connection lives little longer.
+constexpr std::chrono::milliseconds kPoolCheckInterval{ 1000 };
 constexpr std::chrono::milliseconds kAdmissionTick{ 5 };
 constexpr std::chrono::milliseconds kCrashProbeTimeout{ 200 };
 /// A process that ends closes its connections one by one, and its listener may be among the last.
@@ -154,6 +156,10 @@
 
 void OwnerService::Tick()
 {
+  if (const auto now = std::chrono::steady_clock::now(); now >= nextPoolCheck_) {
+    nextPoolCheck_ = now + kPoolCheckInterval;
+    pool_.DropExpired();
+  }
   if (registry_.Tick(std::chrono::steady_clock::now())) {
     BackendChanged(runtime::LogEvent::EndpointWithdrawn);
   }
--- a/packages/runtime/include/hemlockproxy/runtime/HttpClient.h
+++ b/packages/runtime/include/hemlockproxy/runtime/HttpClient.h
@@ -96,6 +96,11 @@
   void SetOnOpen(OnOpen aOnOpen) { onOpen_ = std::move(aOnOpen); }
   /// Takes back a connection; drops it unless it is reusable.
   void Release(const model::Address& aAddress, HttpConnectionPtr aConnection);
+  /// Closes what has been idle for too long. To be called now and then: the newest idle connection
+  /// is taken first, so that Acquire does not come to the others.
+  void DropExpired();
+  /// Returns the idle connections to all addresses.
+  [[nodiscard]] std::size_t IdleCount() const noexcept;
 
 private:
   struct IdleConnection
--- a/packages/runtime/src/HttpClient.cpp
+++ b/packages/runtime/src/HttpClient.cpp
@@ -286,6 +286,25 @@
   idle.push_back(IdleConnection{ std::move(aConnection), std::chrono::steady_clock::now() + time });
 }
 
+void HttpConnectionPool::DropExpired()
+{
+  const auto now = std::chrono::steady_clock::now();
+  for (auto entry = idle_.begin(); entry != idle_.end();) {
+    std::erase_if(entry->second,
+                  [now](const IdleConnection& aIdle) { return now >= aIdle.until_; });
+    entry = entry->second.empty() ? idle_.erase(entry) : std::next(entry);
+  }
+}
+
+std::size_t HttpConnectionPool::IdleCount() const noexcept
+{
+  std::size_t count = 0;
+  for (const auto& [address, idle] : idle_) {
+    count += idle.size();
+  }
+  return count;
+}
+
 RequestHeader MakeRequest(http::verb aMethod, std::string_view aTarget, const model::Address& aHost)
 {
   RequestHeader header;
--- a/packages/runtime/tests/HttpTest.cpp
+++ b/packages/runtime/tests/HttpTest.cpp
@@ -161,3 +161,26 @@
     },
     options);
 }
+
+// Guards against idle connections that stay open after a burst, each with its memory at both ends.
+TEST(Http, DropsConnectionsThatWereIdleForTooLong)
+{
+  constexpr std::chrono::milliseconds kIdleTime{ 20 };
+  WithServer(EchoBody, [&](const IoContextPtr& aIo, HttpServer& aServer, HttpConnectionPool&) {
+    HttpConnectionPool pool(aIo, 4, kIdleTime);
+    const Address address = aServer.LocalAddress();
+    auto first = *pool.Acquire(address, kTimeout);
+    auto second = *pool.Acquire(address, kTimeout);
+    for (auto* connection : { &first, &second }) {
+      const auto header = MakeRequest(http::verb::get, "/", address);
+      CHECK_TRUE((*connection)->Send(header, {}, kTimeout).Ok());
+      CHECK_TRUE((*connection)->ReadHeader(kTimeout).Ok());
+      pool.Release(address, std::move(*connection));
+    }
+    pool.DropExpired();
+    UNSIGNED_LONGS_EQUAL(2, pool.IdleCount());
+    boost::this_fiber::sleep_for(2 * kIdleTime);
+    pool.DropExpired();
+    UNSIGNED_LONGS_EQUAL(0, pool.IdleCount());
+  });
+}
