Send long responses a few at a time and reject what the link cannot send in time

Callers saw: lookups between services failed or took 0.3 s and more, and the pages that need them with them; downloads came late.

Cause: the instances of cartoon-store have a link of 28 Mbit/s and are asked for 29 to 35 Mbit/s of downloads. The daemon sent all bodies at once: each of them was late, and every other packet of the instance waited 150 to 600 ms behind them.

Change: TransferQueue schedules long bodies on the link and judges requests by it before they run; the platform's link rate reaches it as link_mbps.

--- a/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
@@ -7,6 +7,7 @@
 #include "hemlockproxy/decisions/Admission.h"
 #include "hemlockproxy/decisions/BackendRegistry.h"
 #include "hemlockproxy/decisions/Quarantine.h"
+#include "hemlockproxy/decisions/TransferQueue.h"
 #include "hemlockproxy/runtime/EventRing.h"
 #include "hemlockproxy/runtime/HttpClient.h"
 #include "hemlockproxy/runtime/HttpServer.h"
@@ -22,7 +23,8 @@
 
 namespace impl {
 enum class LeftStage : std::uint8_t;
-}
+class LinkScheduler;
+} // namespace impl
 
 /// What the owner needs to know of its own daemon.
 struct OwnerOptions
@@ -32,6 +34,7 @@
   /// How often the backend server of this instance reports.
   std::chrono::milliseconds reportInterval_{ 1000 };
   DialectPtr dialect_;
+  decisions::TransferQueueOptions link_;
   /// Null writes no lines.
   runtime::StructuredLog* lines_ = nullptr;
 };
@@ -90,6 +93,11 @@
   [[nodiscard]] std::optional<model::Endpoint> CurrentEndpoint() const;
   /// The backend server or its state has changed.
   void BackendChanged(runtime::LogEvent aEvent);
+  /// Returns what a request asks of the link.
+  [[nodiscard]] decisions::TransferDemand DemandOf(model::TimePoint aNow,
+                                                   const UpstreamRequest& aRequest) const;
+  /// Returns for how long a request would wait for a slot or for the link.
+  [[nodiscard]] model::Duration ExpectedWait(const UpstreamRequest& aRequest) const;
   /// Returns None when the request may run, else the reason for its rejection.
   [[nodiscard]] model::RefusalReason Admit(decisions::RequestId aId,
                                            const UpstreamRequest& aRequest,
@@ -125,6 +133,7 @@
   OnEndpoint onEndpoint_;
   decisions::BackendRegistry registry_;
   decisions::Quarantine quarantine_;
+  std::unique_ptr<impl::LinkScheduler> link_;
   TrafficViewPtr seen_;
   std::optional<decisions::Admission> admission_;
   model::ServiceName service_;
--- a/packages/daemon/include/hemlockproxy/daemon/Settings.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Settings.h
@@ -78,6 +78,9 @@
   /// Whether the traffic thread polls briefly before it waits for I/O, which saves the wake-up when
   /// an answer comes soon. To be turned off where processor time is short.
   bool trafficSpin_ = true;
+  /// The rate of the instance's link in bytes/s, written as link_mbps; 0 means that it is not
+  /// known.
+  std::uint64_t linkBytesPerSecond_ = 0;
   std::string logLevel_ = "info";
 
   friend bool operator==(const Settings&, const Settings&) = default;
--- a/packages/daemon/include/hemlockproxy/daemon/Upstream.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Upstream.h
@@ -13,6 +13,10 @@
 
 namespace hemlockproxy::daemon {
 
+namespace impl {
+class LinkTicket;
+}
+
 /// Names of header fields between callers, daemons and backend servers.
 inline constexpr const char* kOutcomeField = "Hemlock-Outcome";
 inline constexpr const char* kReasonField = "Hemlock-Reason";
@@ -66,6 +70,8 @@
   /// The source of the bytes after body_.
   runtime::BodySource* rest_ = nullptr;
   CancelSource* cancel_ = nullptr;
+  /// The use of the instance's link; null when the response does not go to another daemon.
+  impl::LinkTicket* link_ = nullptr;
   /// What earlier owners found out about this request, as an encoded quarantine report; empty when
   /// nothing.
   std::string evidence_;
--- /dev/null
+++ b/packages/daemon/src/LinkScheduler.cpp
@@ -0,0 +1,57 @@
+#include "impl/LinkScheduler.h"
+
+#include <chrono>
+
+namespace hemlockproxy::daemon::impl {
+
+using decisions::RequestId;
+
+void LinkScheduler::Finish(RequestId aId)
+{
+  for (const RequestId next : queue_.Finish(std::chrono::steady_clock::now(), aId)) {
+    Wake(next);
+  }
+}
+
+void LinkScheduler::Wake(RequestId aId)
+{
+  if (const auto turn = turns_.find(aId); turn != turns_.end()) {
+    auto promise = std::move(turn->second);
+    turns_.erase(turn);
+    promise.set_value();
+  }
+}
+
+LinkTicket::LinkTicket(LinkScheduler& aScheduler) noexcept
+  : scheduler_(aScheduler)
+  , id_(aScheduler.lastId_.Next())
+{
+  aScheduler.lastId_ = id_;
+}
+
+bool LinkTicket::Fits(const decisions::TransferDemand& aDemand) const
+{
+  return scheduler_.queue_.Fits(std::chrono::steady_clock::now(), aDemand);
+}
+
+model::Duration LinkTicket::ExpectedWait(const std::string& aLabel) const
+{
+  return scheduler_.queue_.ExpectedWait(std::chrono::steady_clock::now(), aLabel);
+}
+
+void LinkTicket::WaitForTurn(const std::string& aLabel,
+                             std::optional<std::uint64_t> aBytes,
+                             CancelSource& aCancel)
+{
+  using Turn = decisions::TransferQueue::Turn;
+  const auto now = std::chrono::steady_clock::now();
+  if (scheduler_.queue_.Arrive(now, id_, aLabel, aBytes) == Turn::Now || aCancel.Cancelled()) {
+    return;
+  }
+  auto turn = scheduler_.turns_[id_].get_future();
+  aCancel.SetAction([this] { scheduler_.Wake(id_); });
+  turn.wait();
+  aCancel.SetAction({});
+}
+
+} // namespace hemlockproxy::daemon::impl
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -5,6 +5,7 @@
 #include "impl/Delivery.h"
 #include "impl/EntryBodies.h"
 #include "impl/HeldBody.h"
+#include "impl/LinkScheduler.h"
 #include "impl/RequestLog.h"
 
 #include <boost/fiber/future/promise.hpp>
@@ -140,6 +141,7 @@
   , onEndpoint_(std::move(aOnEndpoint))
   , registry_(*decisions::BackendRegistry::Create({ .interval_ = options_.reportInterval_ }))
   , quarantine_(*decisions::Quarantine::Create({}))
+  , link_(std::make_unique<impl::LinkScheduler>(*decisions::TransferQueue::Create(options_.link_)))
 {
   pool_.SetOnOpen([this](runtime::OpenReason aReason) {
     metrics_.Add(runtime::Family::ConnectionsOpened, { "backend", ToString(aReason) });
@@ -263,11 +265,33 @@
   }
 }
 
+decisions::TransferDemand OwnerService::DemandOf(model::TimePoint aNow,
+                                                 const UpstreamRequest& aRequest) const
+{
+  const WorkClass& work = aRequest.work_;
+  return { work.label_,
+           aNow + admission_->ExpectedWait(aNow, work.priority_) +
+             admission_->EstimateOf(work.label_),
+           work.target_ };
+}
+
+model::Duration OwnerService::ExpectedWait(const UpstreamRequest& aRequest) const
+{
+  const auto slot =
+    admission_->ExpectedWait(std::chrono::steady_clock::now(), aRequest.work_.priority_);
+  return aRequest.link_ == nullptr
+           ? slot
+           : std::max(slot, aRequest.link_->ExpectedWait(aRequest.work_.label_));
+}
+
 RefusalReason OwnerService::Admit(RequestId aId,
                                   const UpstreamRequest& aRequest,
                                   decisions::RunKind aKind)
 {
   const auto arrived = std::chrono::steady_clock::now();
+  if (aRequest.link_ != nullptr && !aRequest.link_->Fits(DemandOf(arrived, aRequest))) {
+    return RefusalReason::QueueFull;
+  }
   const auto verdict = admission_->Arrive(arrived,
                                           { .id_ = aId,
                                             .deadline_ = aRequest.deadline_,
@@ -278,6 +302,9 @@
   if (const auto* rejected = std::get_if<decisions::RejectRequest>(&verdict)) {
     return rejected->reason_;
   }
+  if (aRequest.link_ != nullptr) {
+    aRequest.link_->Reserve(aRequest.work_.label_);
+  }
   if (std::holds_alternative<decisions::RunRequest>(verdict)) {
     return RefusalReason::None;
   }
@@ -449,8 +476,7 @@
       options_.lines_, aRequest, reason, *admission_, std::chrono::steady_clock::now());
     UpstreamReply reply = Refused(RequestOutcome::NotRun, reason);
     reply.load_ = Load();
-    reply.expectedWait_ =
-      admission_->ExpectedWait(std::chrono::steady_clock::now(), aRequest.work_.priority_);
+    reply.expectedWait_ = ExpectedWait(aRequest);
     return reply;
   }
   std::optional<impl::LimitedBody> limited;
@@ -530,6 +556,8 @@
   }
   request.body_ = prefix;
   request.rest_ = aExchange.BodyDone() ? nullptr : &aExchange;
+  impl::LinkTicket link(*link_);
+  request.link_ = &link;
   UpstreamReply reply = Execute(request);
   if (cancel.Cancelled()) {
     NoteCallerLeft(request.id_, impl::StageOf(reply.outcome_), started);
@@ -542,6 +570,7 @@
   if (reply.load_) {
     reply.header_.set(kLoadField, std::to_string(*reply.load_));
   }
+  link.WaitForTurn(request.work_.label_, impl::BodyLengthOf(reply.header_), cancel);
   (void)impl::Deliver(aExchange, reply);
 }
 
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -51,7 +51,7 @@
     std::chrono::milliseconds most_;
   };
 
-  static const std::array<Key, 28> kKeys;
+  static const std::array<Key, 29> kKeys;
 
   void Add(const YAML::Mark& aMark, std::string aMessage)
   {
@@ -125,6 +125,7 @@
   void SetRetryWindow(const YAML::Node& aValue);
   void SetRetryExtra(const YAML::Node& aValue);
   void SetTrafficSpin(const YAML::Node& aValue);
+  void SetLinkRate(const YAML::Node& aValue);
   void SetSeeds(const YAML::Node& aValue);
   void SetProfile(const YAML::Node& aValue);
   void SetLogLevel(const YAML::Node& aValue);
@@ -139,7 +140,7 @@
   SettingsErrors errors_;
 };
 
-const std::array<SettingsParser::Key, 28> SettingsParser::kKeys = { {
+const std::array<SettingsParser::Key, 29> SettingsParser::kKeys = { {
   { "name", Need::Required, &SettingsParser::SetName },
   { "region", Need::Required, &SettingsParser::SetRegion },
   { "failure_domain", Need::Required, &SettingsParser::SetDomain },
@@ -168,6 +169,7 @@
   { "retry_window", Need::Optional, &SettingsParser::SetRetryWindow },
   { "retry_extra", Need::Optional, &SettingsParser::SetRetryExtra },
   { "traffic_spin", Need::Optional, &SettingsParser::SetTrafficSpin },
+  { "link_mbps", Need::Optional, &SettingsParser::SetLinkRate },
 } };
 
 void SettingsParser::SetDuration(const YAML::Node& aValue, const DurationKey& aKey)
@@ -250,6 +252,19 @@
   }
 }
 
+void SettingsParser::SetLinkRate(const YAML::Node& aValue)
+{
+  constexpr double kBytesPerMegabit = 1e6 / 8;
+  constexpr double kMostMegabits = 1e6;
+  double megabits = 0;
+  if (!YAML::convert<double>::decode(aValue, megabits) || !(megabits >= 0) ||
+      megabits > kMostMegabits) {
+    Add(aValue.Mark(), "found '" + Text(aValue) + "'; expected Mbit/s from 0 to 1000000");
+    return;
+  }
+  settings_.linkBytesPerSecond_ = static_cast<std::uint64_t>(megabits * kBytesPerMegabit);
+}
+
 void SettingsParser::SetInterface(const YAML::Node& aValue)
 {
   const std::string text = Text(aValue);
--- a/packages/daemon/tests/SettingsTest.cpp
+++ b/packages/daemon/tests/SettingsTest.cpp
@@ -54,7 +54,8 @@
   const auto settings =
     ParseSettings(kValid + "interface: platform\nready: 10.1.0.2:8140\nreports: 10.1.0.2:8146\n"
                            "caller_service: huvo11a\napply_within: 2.5s\nretry_share: 0.2\n"
-                           "retry_window: 10s\nretry_extra: 58\ntraffic_spin: false\n",
+                           "retry_window: 10s\nretry_extra: 58\ntraffic_spin: false\n"
+                           "link_mbps: 28.0\n",
                   "s.yaml");
   CHECK_TRUE(settings.Ok());
   CHECK_TRUE(settings->interface_ == daemon::Interface::Platform);
@@ -65,6 +66,7 @@
   LONGS_EQUAL(10000, settings->retryWindow_.count());
   LONGS_EQUAL(58, settings->retryExtra_);
   CHECK_FALSE(settings->trafficSpin_);
+  LONGS_EQUAL(3'500'000, settings->linkBytesPerSecond_);
 }
 
 TEST_GROUP(SettingsErrors){};
--- a/packages/decisions/include/hemlockproxy/decisions/Decisions.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Decisions.h
@@ -32,4 +32,5 @@
 #include "hemlockproxy/decisions/RunKind.h"
 #include "hemlockproxy/decisions/ServiceTimeEstimate.h"
 #include "hemlockproxy/decisions/TokenBucket.h"
+#include "hemlockproxy/decisions/TransferQueue.h"
 #include "hemlockproxy/decisions/WeightedSplit.h"
--- /dev/null
+++ b/packages/decisions/src/TransferQueue.cpp
@@ -0,0 +1,137 @@
+#include "hemlockproxy/decisions/TransferQueue.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace hemlockproxy::decisions {
+
+using model::Duration;
+using model::TimePoint;
+
+namespace {
+
+/// The weight of a new size; the mean follows a change within about 20 responses.
+constexpr double kSizeWeight = 0.1;
+/// A deployment has a few kinds of requests for each service.
+constexpr std::size_t kMostLabels = 256;
+
+} // namespace
+
+model::Result<TransferQueue, TransferQueueError> TransferQueue::Create(
+  const TransferQueueOptions& aOptions)
+{
+  if (!(aOptions.share_ > 0 && aOptions.share_ <= 1)) {
+    return TransferQueueError{ "share: expected more than 0 and at most 1" };
+  }
+  if (aOptions.atOnce_ == 0) {
+    return TransferQueueError{ "transfers at once: found 0, expected at least 1" };
+  }
+  return TransferQueue(aOptions);
+}
+
+double TransferQueue::ExpectedBytes(const std::string& aLabel) const
+{
+  const auto mean = meanBytes_.find(aLabel);
+  const bool isLong =
+    mean != meanBytes_.end() && mean->second > static_cast<double>(options_.shortBytes_);
+  return isLong ? mean->second : 0;
+}
+
+Duration TransferQueue::TimeFor(double aBytes) const
+{
+  return options_.bytesPerSecond_ == 0
+           ? Duration{}
+           : std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aBytes / Rate()));
+}
+
+Duration TransferQueue::Backlog(TimePoint aNow) const
+{
+  double bytes = 0;
+  for (const auto& [id, transfer] : transfers_) {
+    double left = transfer.bytes_;
+    if (transfer.sending_) {
+      const std::chrono::duration<double> since = aNow - transfer.since_;
+      left -= since.count() * Rate() / static_cast<double>(sending_);
+    }
+    bytes += std::max(0.0, left);
+  }
+  return TimeFor(bytes);
+}
+
+bool TransferQueue::Fits(TimePoint aNow, const TransferDemand& aDemand) const
+{
+  const double bytes = ExpectedBytes(aDemand.label_);
+  if (bytes <= 0) {
+    return true;
+  }
+  const Duration backlog = Backlog(aNow);
+  return backlog == Duration{} ||
+         std::max(aDemand.ready_, aNow + backlog) + TimeFor(bytes) < aDemand.target_;
+}
+
+void TransferQueue::Reserve(RequestId aId, const std::string& aLabel)
+{
+  transfers_[aId].bytes_ = ExpectedBytes(aLabel);
+}
+
+TransferQueue::Turn TransferQueue::Arrive(TimePoint aNow,
+                                          RequestId aId,
+                                          const std::string& aLabel,
+                                          std::optional<std::uint64_t> aBytes)
+{
+  if (aBytes) {
+    Learn(aLabel, static_cast<double>(*aBytes));
+  }
+  const double bytes = aBytes ? static_cast<double>(*aBytes) : ExpectedBytes(aLabel);
+  Transfer& transfer = transfers_[aId];
+  if (bytes <= static_cast<double>(options_.shortBytes_) || options_.bytesPerSecond_ == 0) {
+    transfer.bytes_ = 0;
+    return Turn::Now;
+  }
+  transfer.bytes_ = bytes;
+  if (sending_ < options_.atOnce_) {
+    Start(aNow, transfer);
+    return Turn::Now;
+  }
+  waiting_.push_back(aId);
+  return Turn::Later;
+}
+
+void TransferQueue::Learn(const std::string& aLabel, double aBytes)
+{
+  if (meanBytes_.size() >= kMostLabels && !meanBytes_.contains(aLabel)) {
+    meanBytes_.clear();
+  }
+  double& mean = meanBytes_.emplace(aLabel, aBytes).first->second;
+  mean += kSizeWeight * (aBytes - mean);
+}
+
+void TransferQueue::Start(TimePoint aNow, Transfer& aTransfer)
+{
+  aTransfer.sending_ = true;
+  aTransfer.since_ = aNow;
+  ++sending_;
+}
+
+std::vector<RequestId> TransferQueue::Finish(TimePoint aNow, RequestId aId)
+{
+  const auto found = transfers_.find(aId);
+  if (found == transfers_.end()) {
+    return {};
+  }
+  if (found->second.sending_) {
+    --sending_;
+  } else {
+    std::erase(waiting_, aId);
+  }
+  transfers_.erase(found);
+  std::vector<RequestId> started;
+  while (sending_ < options_.atOnce_ && !waiting_.empty()) {
+    started.push_back(waiting_.front());
+    waiting_.pop_front();
+    Start(aNow, transfers_[started.back()]);
+  }
+  return started;
+}
+
+} // namespace hemlockproxy::decisions
