Try a silent owner's requests elsewhere without ending the first attempt

Cause: an owner whose probes were lost for 0.4 s counted as silent, and the entry broke off what could be repeated there before another owner had taken it. A full link or a busy daemon loses probes, too; where the other owners then refused, the request failed although its answer was on the way.

Change: the attempt goes on, and a second one runs beside it in a fiber of its own, within the same limits. The first answer that is no server error counts; the other attempt is cancelled. The same for attempts that take long.

Tests: LeavesTheFirstAttemptRunningWhileAnotherIsTried failed before (502, expected 200); two more hold what worked: the second answer counts, and a caller that leaves cancels both.

--- a/packages/daemon/include/hemlockproxy/daemon/CancelSource.h
+++ b/packages/daemon/include/hemlockproxy/daemon/CancelSource.h
@@ -17,6 +17,19 @@
 class CancelSource
 {
 public:
+  CancelSource() = default;
+  ~CancelSource()
+  {
+    if (parent_ != nullptr) {
+      parent_->child_ = nullptr;
+    }
+    if (child_ != nullptr) {
+      child_->parent_ = nullptr;
+    }
+  }
+  CancelSource(const CancelSource&) = delete;
+  CancelSource& operator=(const CancelSource&) = delete;
+
   /// Cancels when the caller of the exchange closes its connection. The source must live until the
   /// exchange ends.
   void Follow(runtime::HttpExchange& aExchange)
@@ -24,11 +37,26 @@
     exchange_ = &aExchange;
     aExchange.OnCallerClosed([this] { Cancel(); });
   }
+  /// Cancels with another source, whose caller is asked for. A source has one child at a time.
+  void Join(CancelSource& aParent)
+  {
+    if (aParent.child_ != nullptr) {
+      aParent.child_->parent_ = nullptr;
+    }
+    parent_ = &aParent;
+    aParent.child_ = this;
+    if (aParent.Cancelled()) {
+      Cancel();
+    }
+  }
   /// Returns whether work should not go on, after a look at the caller's connection. To be called
   /// before a request is passed on: with a daemon that is behind, the close may wait unread behind
   /// the request, and the event that tells of it comes only after the next hop has the request.
   [[nodiscard]] bool CheckStopped()
   {
+    if (parent_ != nullptr) {
+      (void)parent_->CheckStopped();
+    }
     const auto now = std::chrono::steady_clock::now();
     if (!cancelled_ && exchange_ != nullptr && now >= nextCheck_) {
       nextCheck_ = now + kCheckInterval;
@@ -43,6 +71,9 @@
   {
     cancelled_ = true;
     RunAction();
+    if (child_ != nullptr) {
+      child_->Cancel();
+    }
   }
   /// Ends the current attempt; the request may go on elsewhere after StartAttempt.
   void Interrupt()
@@ -72,6 +103,8 @@
 
   runtime::HttpExchange* exchange_ = nullptr;
   std::chrono::steady_clock::time_point nextCheck_{};
+  CancelSource* parent_ = nullptr;
+  CancelSource* child_ = nullptr;
   bool cancelled_ = false;
   bool interrupted_ = false;
   std::function<void()> action_;
--- a/packages/daemon/include/hemlockproxy/daemon/EntryService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/EntryService.h
@@ -71,7 +71,7 @@
   void Handle(runtime::HttpExchange& aExchange);
   /// Watches the other daemons; called often while requests are in progress.
   void Tick();
-  /// After this call no running attempt is given up for another one; callable from any thread.
+  /// After this call no running attempt gets a second one beside it; callable from any thread.
   void SetStopping() noexcept { stopping_ = true; }
   /// Ends the background work; requests in progress must have ended.
   void Stop() noexcept { keyed_.Stop(); }
@@ -87,6 +87,8 @@
     /// By the path prefix of the route.
     std::map<std::string, std::shared_ptr<decisions::AttemptTimeout>> timeouts_;
   };
+  struct Attempt;
+  struct SecondAttempt;
   /// One request on its way through the entry.
   struct Call;
 
@@ -106,23 +108,30 @@
   [[nodiscard]] UpstreamReply Run(runtime::HttpExchange& aExchange, Call& aCall);
   [[nodiscard]] UpstreamReply RunAttempts(Call& aCall);
   [[nodiscard]] UpstreamReply RunKeyed(runtime::HttpExchange& aExchange, Call& aCall);
-  /// Makes one attempt and decides whether another may follow; waits for the backoff before it
-  /// returns.
+  /// Makes one attempt, with a second one beside it if need be, and decides whether another may
+  /// follow; waits for the backoff before it returns.
   [[nodiscard]] ForwardResult TryOnce(Call& aCall);
+  /// Takes in an attempt that was not answered.
+  void NoteFailure(Call& aCall, const model::DaemonId& aEndpoint, const UpstreamReply& aReply);
   /// Returns whether another attempt follows one that was not answered; takes from the budget.
   [[nodiscard]] std::optional<decisions::RetryElsewhere> DecideRetry(Call& aCall,
                                                                      const UpstreamReply& aReply);
-  /// Runs an attempt; one that may be repeated is interrupted when it takes long and another may
-  /// follow.
-  [[nodiscard]] UpstreamReply RunTimedAttempt(Call& aCall, const model::DaemonId& aEndpoint);
-  /// Interrupts the current attempt if the retry policy grants another one. Otherwise returns when
-  /// to ask again, or nothing when the attempt has all the time left.
-  [[nodiscard]] std::optional<model::Duration> GiveUpAttempt(Call& aCall);
+  /// Runs an attempt; one that may be repeated gets company when it takes long. Returns the attempt
+  /// that counts.
+  [[nodiscard]] Attempt RunTimedAttempt(Call& aCall, Attempt aAttempt);
+  /// Starts a second attempt beside the current one if the retry policy grants it. Otherwise
+  /// returns when to ask again, or nothing when the attempt has all the time left.
+  [[nodiscard]] std::optional<model::Duration> AddAttempt(Call& aCall);
+  void StartSecond(Call& aCall, const model::DaemonId& aEndpoint, model::Duration aWait);
+  /// Waits for the second attempt unless the first one was answered, and returns that which counts.
+  [[nodiscard]] Attempt SettleBoth(Call& aCall, Attempt aFirst);
   /// Reports the end of an attempt to the endpoint choice: at once, or when the response body ends.
-  void ReportEnd(Call& aCall, decisions::AttemptResult aResult, UpstreamReply& aReply);
-  [[nodiscard]] UpstreamReply RunAttempt(Call& aCall, const model::DaemonId& aEndpoint);
-  [[nodiscard]] UpstreamReply Forward(Call& aCall, const model::MemberRecord& aMember);
-  /// Keeps a silent peer out of the choice, and gives up what waits for it and can be repeated.
+  void ReportEnd(const model::ServiceName& aService, Attempt& aAttempt, bool aCancelled);
+  [[nodiscard]] UpstreamReply RunAttempt(UpstreamRequest& aRequest,
+                                         const model::DaemonId& aEndpoint);
+  [[nodiscard]] UpstreamReply Forward(const UpstreamRequest& aRequest,
+                                      const model::MemberRecord& aMember);
+  /// Keeps a silent peer out of the choice, and tries what waits for it elsewhere, too.
   void PeerChanged(const decisions::PeerChange& aChange);
   /// Lets a response to a repeatable request be continued from another endpoint.
   void MakeResumable(Call& aCall, UpstreamReply& aReply);
--- a/packages/daemon/src/EntryAttempts.cpp
+++ b/packages/daemon/src/EntryAttempts.cpp
@@ -37,6 +37,13 @@
   return serverError ? decisions::ResponseKind::ServerError : decisions::ResponseKind::Normal;
 }
 
+/// Returns whether a reply is worth ending another attempt for.
+bool IsService(const UpstreamReply& aReply)
+{
+  return aReply.outcome_ == RequestOutcome::Answered &&
+         KindOf(aReply) == decisions::ResponseKind::Normal;
+}
+
 /// Returns what the end of an exchange with another daemon says about the path to it.
 decisions::PeerSign SignOf(const UpstreamReply& aReply) noexcept
 {
@@ -71,7 +78,7 @@
   while (true) {
     ForwardResult result = TryOnce(aCall);
     if (!result.canTryElsewhere_) {
-      if (aCall.interrupted_ && result.reply_.outcome_ != RequestOutcome::Answered &&
+      if (aCall.hadSecond_ && result.reply_.outcome_ != RequestOutcome::Answered &&
           !aCall.cancel_.Cancelled()) {
         aCall.timeout_->ObserveLoss();
       }
@@ -116,45 +123,25 @@
     return { Refused(RequestOutcome::NotRun, choice.Error()), false };
   }
   aCall.endpoint_ = choice->endpoint_;
-  UpstreamReply reply = RunTimedAttempt(aCall, choice->endpoint_);
+  Attempt attempt = RunTimedAttempt(aCall, { choice->endpoint_, started, {} });
+  aCall.endpoint_ = attempt.endpoint_;
+  ReportEnd(aCall.request_.service_, attempt, aCall.cancel_.Cancelled());
+  UpstreamReply reply = std::move(attempt.reply_);
   const auto ended = std::chrono::steady_clock::now();
-  metrics_.Add(
-    runtime::Family::EntryAttempts,
-    { aCall.request_.service_.Value(), ToString(reply.outcome_), ToString(reply.reason_) });
-  AttemptResult result{ choice->endpoint_,
-                        decisions::JudgeAttempt(reply.outcome_, reply.reason_, KindOf(reply)),
-                        ended - started,
-                        std::nullopt };
-  if (aCall.cancel_.Cancelled()) {
-    result.verdict_ = decisions::AttemptVerdict::Cancelled;
-  }
-  if (reply.load_) {
-    result.load_ = decisions::LoadReport{ *reply.load_ };
-  }
-  ReportEnd(aCall, result, reply);
   if (reply.outcome_ == RequestOutcome::Answered) {
     // Fills the budget of retries.
     (void)target.retries_->Decide(ended, decisions::AttemptState{}, random_);
     // A server that fails at once says nothing of how long a response takes.
     if (KindOf(reply) == decisions::ResponseKind::Normal) {
-      aCall.timeout_->Observe(ended - started);
+      aCall.timeout_->Observe(ended - attempt.started_);
     }
     return { std::move(reply), false };
   }
-  aCall.tried_.push_back(choice->endpoint_);
-  const bool mayHaveRun = reply.outcome_ == RequestOutcome::Unknown;
-  if (reply.expectedWait_) {
-    aCall.expectedWait_ =
-      std::min(aCall.expectedWait_.value_or(*reply.expectedWait_), *reply.expectedWait_);
-  }
-  if (!reply.evidence_.empty()) {
-    aCall.request_.evidence_ = reply.evidence_;
-  }
+  NoteFailure(aCall, attempt.endpoint_, reply);
   const auto retry = DecideRetry(aCall, reply);
   const char* next = !retry ? "none" : retry->redirect_ ? "redirect" : "retry";
   impl::LogAttemptFailed(
     options_.lines_, aCall.Facts(ended), reply, aCall.request_.deadline_ - ended, next);
-  aCall.state_.mayHaveRun_ = aCall.state_.mayHaveRun_ || mayHaveRun;
   if (!retry) {
     return { std::move(reply), false };
   }
@@ -164,10 +151,24 @@
   return { std::move(reply), true };
 }
 
+void EntryService::NoteFailure(Call& aCall,
+                               const model::DaemonId& aEndpoint,
+                               const UpstreamReply& aReply)
+{
+  aCall.tried_.push_back(aEndpoint);
+  aCall.state_.mayHaveRun_ = aCall.state_.mayHaveRun_ || aReply.outcome_ == RequestOutcome::Unknown;
+  if (aReply.expectedWait_) {
+    aCall.expectedWait_ =
+      std::min(aCall.expectedWait_.value_or(*aReply.expectedWait_), *aReply.expectedWait_);
+  }
+  if (!aReply.evidence_.empty()) {
+    aCall.request_.evidence_ = aReply.evidence_;
+  }
+}
+
 std::optional<decisions::RetryElsewhere> EntryService::DecideRetry(Call& aCall,
                                                                    const UpstreamReply& aReply)
 {
-  const auto granted = std::exchange(aCall.granted_, std::nullopt);
   if (aCall.cancel_.Cancelled() || aCall.BodyUsed()) {
     return std::nullopt;
   }
@@ -176,45 +177,45 @@
   state.reason_ = aReply.reason_;
   state.expectedLatency_ = aCall.target_->chooser_->MeanLatency();
   state.attempts_ += decisions::RetryPolicy::IsRedirect(aReply.outcome_, aReply.reason_) ? 0 : 1;
-  if (granted) {
-    return granted;
-  }
   const auto decision =
     aCall.target_->retries_->Decide(std::chrono::steady_clock::now(), state, random_);
   const auto* retry = std::get_if<decisions::RetryElsewhere>(&decision);
   return retry == nullptr ? std::nullopt : std::optional(*retry);
 }
 
-UpstreamReply EntryService::RunTimedAttempt(Call& aCall, const model::DaemonId& aEndpoint)
+EntryService::Attempt EntryService::RunTimedAttempt(Call& aCall, Attempt aAttempt)
 {
   aCall.cancel_.StartAttempt();
-  aCall.granted_.reset();
+  aCall.second_.reset();
+  aCall.request_.body_ = aCall.prefix_;
+  aCall.request_.rest_ = aCall.rest_ ? &*aCall.rest_ : nullptr;
   if (aCall.repeatable_ == decisions::Repeatable::No) {
-    return RunAttempt(aCall, aEndpoint);
-  }
-  const auto left = aCall.request_.deadline_ - std::chrono::steady_clock::now();
-  const impl::AttemptTimer timer(
-    *io_, aCall.timeout_->AttemptTime(left), [this, &aCall] { return GiveUpAttempt(aCall); });
-  const auto listed = repeatable_.emplace(aEndpoint, &aCall);
-  UpstreamReply reply = RunAttempt(aCall, aEndpoint);
-  repeatable_.erase(listed);
-  if (aCall.granted_ && reply.outcome_ == RequestOutcome::Unknown) {
-    reply.reason_ = RefusalReason::UpstreamTimeout;
-  }
-  return reply;
+    aAttempt.reply_ = RunAttempt(aCall.request_, aAttempt.endpoint_);
+    return aAttempt;
+  }
+  {
+    const auto left = aCall.request_.deadline_ - std::chrono::steady_clock::now();
+    const impl::AttemptTimer timer(
+      *io_, aCall.timeout_->AttemptTime(left), [this, &aCall] { return AddAttempt(aCall); });
+    const auto listed = repeatable_.emplace(aAttempt.endpoint_, &aCall);
+    aAttempt.reply_ = RunAttempt(aCall.request_, aAttempt.endpoint_);
+    repeatable_.erase(listed);
+  }
+  return aCall.second_ ? SettleBoth(aCall, std::move(aAttempt)) : std::move(aAttempt);
 }
 
-std::optional<model::Duration> EntryService::GiveUpAttempt(Call& aCall)
+std::optional<model::Duration> EntryService::AddAttempt(Call& aCall)
 {
-  if (stopping_) {
-    // The daemon waits for what runs, and has little time left for another attempt.
+  if (stopping_ || aCall.second_) {
+    // A daemon that stops waits for what runs, and has little time left for another attempt.
     return std::nullopt;
   }
   const auto now = std::chrono::steady_clock::now();
   Target& target = *aCall.target_;
   auto tried = aCall.tried_;
   tried.push_back(*aCall.endpoint_);
-  if (aCall.cancel_.HasAction() && !aCall.BodyUsed() && target.chooser_->CanChoose(now, tried)) {
+  // A body that is not held whole can be sent once only.
+  if (aCall.cancel_.HasAction() && !aCall.rest_ && target.chooser_->CanChoose(now, tried)) {
     decisions::AttemptState state = aCall.state_;
     state.outcome_ = RequestOutcome::Unknown;
     state.reason_ = RefusalReason::UpstreamTimeout;
@@ -222,11 +223,11 @@
     ++state.attempts_;
     const auto decision = target.retries_->Decide(now, state, random_);
     if (const auto* retry = std::get_if<decisions::RetryElsewhere>(&decision)) {
-      metrics_.Add(runtime::Counter::AttemptsGivenUp);
-      aCall.granted_ = *retry;
-      aCall.interrupted_ = true;
-      aCall.cancel_.Interrupt();
-      return std::nullopt;
+      if (const auto choice = target.chooser_->Choose(now, random_, tried)) {
+        ++aCall.state_.attempts_;
+        StartSecond(aCall, choice->endpoint_, retry->wait_);
+        return std::nullopt;
+      }
     }
   }
   const auto left = aCall.request_.deadline_ - now;
@@ -234,37 +235,113 @@
   return next < left ? std::optional(next) : std::nullopt;
 }
 
-void EntryService::ReportEnd(Call& aCall, AttemptResult aResult, UpstreamReply& aReply)
+void EntryService::StartSecond(Call& aCall, const model::DaemonId& aEndpoint, model::Duration aWait)
+{
+  metrics_.Add(runtime::Counter::SecondAttempts);
+  aCall.hadSecond_ = true;
+  aCall.second_ = std::make_shared<SecondAttempt>();
+  aCall.seconds_.push_back(aCall.second_);
+  SecondAttempt& second = *aCall.second_;
+  second.attempt_.endpoint_ = aEndpoint;
+  second.body_ = aCall.prefix_;
+  second.request_ = aCall.request_;
+  second.request_.body_ = second.body_;
+  second.request_.cancel_ = &second.cancel_;
+  second.cancel_.Join(aCall.cancel_);
+  // The call waits for the fiber in SettleBoth, or abandons it.
+  runtime::SpawnFiber([this, &aCall, held = aCall.second_, aWait] {
+    boost::this_fiber::sleep_for(aWait);
+    Attempt& attempt = held->attempt_;
+    attempt.started_ = std::chrono::steady_clock::now();
+    attempt.reply_ = held->cancel_.Cancelled()
+                       ? Refused(RequestOutcome::NotRun, RefusalReason::CallerLeft)
+                       : RunAttempt(held->request_, attempt.endpoint_);
+    if (held->abandoned_) {
+      attempt.reply_ = Refused(RequestOutcome::Unknown, RefusalReason::UpstreamFailed);
+      ReportEnd(held->request_.service_, attempt, true);
+      return;
+    }
+    held->hasEnded_ = true;
+    if (IsService(attempt.reply_)) {
+      aCall.cancel_.Interrupt();
+    }
+    held->ended_.set_value();
+  });
+}
+
+EntryService::Attempt EntryService::SettleBoth(Call& aCall, Attempt aFirst)
 {
-  if (aReply.outcome_ != RequestOutcome::Answered) {
-    aCall.target_->chooser_->Finish(std::chrono::steady_clock::now(), aResult);
+  SecondAttempt& second = *aCall.second_;
+  const model::ServiceName& service = aCall.request_.service_;
+  const bool answered = aFirst.reply_.outcome_ == RequestOutcome::Answered;
+  auto ended = second.ended_.get_future();
+  if (answered && !second.hasEnded_) {
+    second.abandoned_ = true;
+    second.cancel_.Cancel();
+    return aFirst;
+  }
+  ended.wait();
+  const bool cancelled = aCall.cancel_.Cancelled();
+  Attempt& other = second.attempt_;
+  if (answered && !IsService(other.reply_)) {
+    ReportEnd(service, other, cancelled);
+    return aFirst;
+  }
+  if (IsService(other.reply_)) {
+    // The first attempt was ended for this answer, after a time in which it should have answered.
+    aFirst.reply_ = Refused(RequestOutcome::Unknown, RefusalReason::UpstreamTimeout);
+  }
+  ReportEnd(service, aFirst, cancelled);
+  NoteFailure(aCall, aFirst.endpoint_, aFirst.reply_);
+  const auto now = std::chrono::steady_clock::now();
+  impl::LogAttemptFailed(
+    options_.lines_, aCall.Facts(now), aFirst.reply_, aCall.request_.deadline_ - now, "second");
+  return std::move(other);
+}
+
+void EntryService::ReportEnd(const model::ServiceName& aService, Attempt& aAttempt, bool aCancelled)
+{
+  UpstreamReply& reply = aAttempt.reply_;
+  metrics_.Add(runtime::Family::EntryAttempts,
+               { aService.Value(), ToString(reply.outcome_), ToString(reply.reason_) });
+  const auto now = std::chrono::steady_clock::now();
+  AttemptResult result{ aAttempt.endpoint_,
+                        aCancelled
+                          ? decisions::AttemptVerdict::Cancelled
+                          : decisions::JudgeAttempt(reply.outcome_, reply.reason_, KindOf(reply)),
+                        now - aAttempt.started_,
+                        std::nullopt };
+  // Targets are never removed, so that the pointer stays valid.
+  Target* target = &targets_[aService];
+  if (reply.load_) {
+    result.load_ = decisions::LoadReport{ *reply.load_ };
+  }
+  if (reply.outcome_ != RequestOutcome::Answered) {
+    target->chooser_->Finish(now, result);
     return;
   }
-  // Targets are never removed, so that the pointer stays valid.
-  Target* target = aCall.target_;
-  const auto verdict = aResult.verdict_;
-  aReply.body_ = std::make_unique<ObservedBody>(
-    std::move(aReply.body_),
+  const auto verdict = result.verdict_;
+  reply.body_ = std::make_unique<ObservedBody>(
+    std::move(reply.body_),
     verdict,
-    [target, result = std::move(aResult)](decisions::AttemptVerdict aVerdict) mutable {
+    [target, result = std::move(result)](decisions::AttemptVerdict aVerdict) mutable {
       result.verdict_ = aVerdict;
       target->chooser_->Finish(std::chrono::steady_clock::now(), result);
     });
 }
 
-UpstreamReply EntryService::RunAttempt(Call& aCall, const model::DaemonId& aEndpoint)
+UpstreamReply EntryService::RunAttempt(UpstreamRequest& aRequest, const model::DaemonId& aEndpoint)
 {
-  aCall.request_.body_ = aCall.prefix_;
-  aCall.request_.rest_ = aCall.rest_ ? &*aCall.rest_ : nullptr;
   if (aEndpoint == options_.self_) {
-    return owner_.Execute(aCall.request_);
+    return owner_.Execute(aRequest);
   }
-  const auto found = aCall.target_->members_.find(aEndpoint);
-  if (found == aCall.target_->members_.end()) {
+  const auto& members = targets_[aRequest.service_].members_;
+  const auto found = members.find(aEndpoint);
+  if (found == members.end()) {
     return Refused(RequestOutcome::NotRun, RefusalReason::NoEndpoint);
   }
   const std::shared_ptr<const model::MemberRecord> member = found->second;
-  return Forward(aCall, *member);
+  return Forward(aRequest, *member);
 }
 
 void EntryService::PeerChanged(const decisions::PeerChange& aChange)
@@ -292,14 +369,15 @@
   std::transform(
     first, last, std::back_inserter(waiting), [](const auto& aEntry) { return aEntry.second; });
   for (Call* call : waiting) {
-    (void)GiveUpAttempt(*call);
+    (void)AddAttempt(*call);
   }
 }
 
-UpstreamReply EntryService::Forward(Call& aCall, const model::MemberRecord& aMember)
+UpstreamReply EntryService::Forward(const UpstreamRequest& aRequest,
+                                    const model::MemberRecord& aMember)
 {
   metrics_.Add(runtime::Counter::RequestsForwarded);
-  UpstreamRequest request = aCall.request_;
+  UpstreamRequest request = aRequest;
   request.header_.set(kServiceField, request.service_.Value());
   if (!request.callerService_.Empty()) {
     request.header_.set(kCallerField, request.callerService_.Value());
@@ -315,7 +393,7 @@
   prober_->Started(aMember.id_);
   UpstreamReply reply = RunExchange(pool_, aMember.forward_, request, options);
   prober_->Ended(aMember.id_,
-                 aCall.cancel_.Stopped() ? decisions::PeerSign::Nothing : SignOf(reply));
+                 request.cancel_->Stopped() ? decisions::PeerSign::Nothing : SignOf(reply));
   if (reply.outcome_ != RequestOutcome::Answered) {
     return reply;
   }
--- a/packages/daemon/src/impl/EntryCall.h
+++ b/packages/daemon/src/impl/EntryCall.h
@@ -4,12 +4,37 @@
 #include "impl/EntryBodies.h"
 #include "impl/RequestLog.h"
 
+#include <boost/fiber/future/promise.hpp>
+
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace hemlockproxy::daemon {
 
+/// An attempt of a request and what came of it.
+struct EntryService::Attempt
+{
+  model::DaemonId endpoint_;
+  model::TimePoint started_;
+  UpstreamReply reply_;
+};
+
+/// A second attempt that runs beside one that goes without a response, in a fiber of its own.
+struct EntryService::SecondAttempt
+{
+  Attempt attempt_;
+  UpstreamRequest request_;
+  /// The request's whole body.
+  std::string body_;
+  CancelSource cancel_;
+  /// The first attempt was answered, and nobody waits for this one.
+  bool abandoned_ = false;
+  bool hasEnded_ = false;
+  boost::fibers::promise<void> ended_;
+};
+
 /// One request on its way through the entry.
 struct EntryService::Call
 {
@@ -30,14 +55,16 @@
   decisions::AttemptState state_;
   /// Learns from all attempts on the route of this request.
   std::shared_ptr<decisions::AttemptTimeout> timeout_;
-  /// The retry that was granted when the current attempt was interrupted.
-  std::optional<decisions::RetryElsewhere> granted_;
+  /// Runs beside the current attempt, or has answered in its place.
+  std::shared_ptr<SecondAttempt> second_;
+  /// All second attempts: the body of a response may use what belongs to an earlier one.
+  std::vector<std::shared_ptr<SecondAttempt>> seconds_;
   /// The shortest wait that an owner told when it rejected the request.
   std::optional<model::Duration> expectedWait_;
   /// Whether the caller had left before the request was handled.
   bool unread_ = false;
-  /// Whether an attempt of this request was interrupted.
-  bool interrupted_ = false;
+  /// Whether there was a second attempt beside another one.
+  bool hadSecond_ = false;
   model::TimePoint started_;
 
   /// The configuration version by which the request is handled.
--- a/packages/daemon/tests/EntryServiceTest.cpp
+++ b/packages/daemon/tests/EntryServiceTest.cpp
@@ -5,27 +5,62 @@
 using namespace hemlockproxy;
 using namespace hemlockproxy::daemon;
 using namespace hemlockproxy::daemon::test;
+using model::RequestOutcome;
+using std::chrono::milliseconds;
 
 namespace {
 
-/// Runs a story with an entry whose only owner is a server that counts.
-void WithEntry(
-  const std::function<void(const runtime::IoContextPtr&, Server&, CountingServer&)>& aStory)
+/// Longer than it takes until a daemon that answers no probes counts as silent.
+constexpr milliseconds kSilent{ 1200 };
+
+/// An entry with the listener for its callers, whose ticks go on until its end.
+class Entry
 {
-  runtime::RunInLoop([&](const runtime::IoContextPtr& aIo) {
-    CountingServer owner(aIo);
-    Surroundings surroundings;
-    surroundings.views_.Store(MakeView({ owner.Address() }));
-    const auto own = MakeOwner(aIo, surroundings, owner.Address());
-    const auto entry = MakeEntry(aIo, surroundings, *own);
-    {
-      Server callers(aIo, [&](auto& aExchange) { entry->Handle(aExchange); });
-      callers.Start();
-      aStory(aIo, callers, owner);
-    }
-    entry->Stop();
-  });
-}
+public:
+  Entry(const runtime::IoContextPtr& aIo, const std::vector<model::Address>& aOwners)
+  {
+    surroundings_.views_.Store(MakeView(aOwners));
+    owner_ = MakeOwner(aIo, surroundings_, aOwners.front());
+    service_ = MakeEntry(aIo, surroundings_, *owner_);
+    callers_.emplace(aIo, [this](auto& aExchange) { service_->Handle(aExchange); });
+    callers_->Start();
+    ticker_ = boost::fibers::fiber([this] {
+      while (!stopping_) {
+        service_->Tick();
+        boost::this_fiber::sleep_for(kTick);
+      }
+    });
+  }
+  ~Entry()
+  {
+    stopping_ = true;
+    ticker_.join();
+    callers_.reset();
+    // Probes and abandoned attempts use the service until they end.
+    boost::this_fiber::sleep_for(kBackground);
+    service_->Stop();
+  }
+  Entry(const Entry&) = delete;
+  Entry& operator=(const Entry&) = delete;
+
+  [[nodiscard]] model::Address Address() const { return callers_->Address(); }
+  [[nodiscard]] runtime::RequestHeader Request() const
+  {
+    return runtime::MakeRequest(runtime::http::verb::get, "/", Address());
+  }
+  void SetStopping() { service_->SetStopping(); }
+
+private:
+  static constexpr milliseconds kTick{ 10 };
+  static constexpr milliseconds kBackground{ 300 };
+
+  Surroundings surroundings_;
+  std::unique_ptr<OwnerService> owner_;
+  std::unique_ptr<EntryService> service_;
+  std::optional<Server> callers_;
+  boost::fibers::fiber ticker_;
+  bool stopping_ = false;
+};
 
 } // namespace
 
@@ -34,12 +69,60 @@
 // Guards against work for a caller that left while its request waited to be read.
 TEST(EntryService, ForwardsNothingForACallerThatLeftBeforeItsRequestWasRead)
 {
-  WithEntry([](const runtime::IoContextPtr& aIo, Server& aCallers, CountingServer& aOwner) {
-    const auto request = runtime::MakeRequest(runtime::http::verb::get, "/", aCallers.Address());
+  runtime::RunInLoop([](const runtime::IoContextPtr& aIo) {
+    CountingServer owner(aIo);
+    const Entry entry(aIo, { owner.Address() });
     // Leaves an idle connection to the owner, on which a request is sent at once.
-    LONGS_EQUAL(200, StatusOf(*aIo, aCallers.Address(), request));
-    SendAndLeave(aCallers.Address(), request);
+    LONGS_EQUAL(200, StatusOf(*aIo, entry.Address(), entry.Request()));
+    SendAndLeave(entry.Address(), entry.Request());
+    boost::this_fiber::sleep_for(kSettle);
+    LONGS_EQUAL(1, owner.Requests());
+  });
+}
+
+TEST_GROUP(EntryServiceSilentOwner){};
+
+// Guards against a request that is broken off at an owner that is at work, and then fails since no
+// other takes it.
+TEST(EntryServiceSilentOwner, LeavesTheFirstAttemptRunningWhileAnotherIsTried)
+{
+  runtime::RunInLoop([](const runtime::IoContextPtr& aIo) {
+    CountingServer slow(aIo, kSilent);
+    CountingServer full(aIo, milliseconds(0), RequestOutcome::NotRun);
+    const Entry entry(aIo, { slow.Address(), full.Address() });
+    LONGS_EQUAL(200, StatusOf(*aIo, entry.Address(), entry.Request()));
+    LONGS_EQUAL(1, slow.Requests());
+    LONGS_EQUAL(1, full.Requests());
+  });
+}
+
+// Guards against a request that waits for an owner that never answers.
+TEST(EntryServiceSilentOwner, TakesTheAnswerOfTheSecondAttemptAndCancelsTheFirst)
+{
+  runtime::RunInLoop([](const runtime::IoContextPtr& aIo) {
+    CountingServer hanging(aIo, kExchangeTimeout);
+    CountingServer well(aIo);
+    const Entry entry(aIo, { hanging.Address(), well.Address() });
+    LONGS_EQUAL(200, StatusOf(*aIo, entry.Address(), entry.Request()));
+    LONGS_EQUAL(1, well.Requests());
+    boost::this_fiber::sleep_for(kSettle);
+    LONGS_EQUAL(1, hanging.Abandoned());
+  });
+}
+
+// Guards against a second attempt that goes on for a caller that has left.
+TEST(EntryServiceSilentOwner, CancelsBothAttemptsWhenTheCallerLeaves)
+{
+  runtime::RunInLoop([](const runtime::IoContextPtr& aIo) {
+    CountingServer first(aIo, kExchangeTimeout);
+    CountingServer second(aIo, kExchangeTimeout);
+    const Entry entry(aIo, { first.Address(), second.Address() });
+    const auto caller = SendRequest(*aIo, entry.Address(), entry.Request());
+    boost::this_fiber::sleep_for(kSilent);
+    LONGS_EQUAL(1, second.Requests());
+    caller->Close();
     boost::this_fiber::sleep_for(kSettle);
-    LONGS_EQUAL(1, aOwner.Requests());
+    LONGS_EQUAL(1, first.Abandoned());
+    LONGS_EQUAL(1, second.Abandoned());
   });
 }
--- a/packages/daemon/tests/TrafficFixture.h
+++ b/packages/daemon/tests/TrafficFixture.h
@@ -55,27 +55,47 @@
 {
 public:
   explicit CountingServer(const runtime::IoContextPtr& aIo,
-                          std::chrono::milliseconds aWork = std::chrono::milliseconds(0))
-    : server_(aIo, [this, aWork](runtime::HttpExchange& aExchange) {
-      ++requests_;
-      boost::this_fiber::sleep_for(aWork);
-      runtime::ResponseHeader header;
-      header.result(runtime::http::status::ok);
-      header.set(kOutcomeField, ToString(model::RequestOutcome::Answered));
-      header.set(runtime::http::field::content_length, "2");
-      (void)aExchange.SendHeader(std::move(header));
-      (void)aExchange.SendBody("ok");
-      (void)aExchange.Finish();
-    })
+                          std::chrono::milliseconds aWork = std::chrono::milliseconds(0),
+                          model::RequestOutcome aOutcome = model::RequestOutcome::Answered)
+    : work_(aWork)
+    , outcome_(aOutcome)
+    , server_(aIo, [this](runtime::HttpExchange& aExchange) { Handle(aExchange); })
   {
     server_.Start();
   }
 
   [[nodiscard]] int Requests() const noexcept { return requests_; }
+  /// Returns the requests whose caller left before the answer.
+  [[nodiscard]] int Abandoned() const noexcept { return abandoned_; }
   [[nodiscard]] model::Address Address() const { return server_.Address(); }
 
 private:
+  void Handle(runtime::HttpExchange& aExchange)
+  {
+    // Probes are not answered while there is work, as by a process that stands still.
+    const bool probe = aExchange.Request().method() == runtime::http::verb::options;
+    requests_ += probe ? 0 : 1;
+    bool left = false;
+    aExchange.OnCallerClosed([&left] { left = true; });
+    const auto end = std::chrono::steady_clock::now() + work_;
+    while (!left && std::chrono::steady_clock::now() < end) {
+      boost::this_fiber::sleep_for(kPoll);
+    }
+    abandoned_ += left && !probe ? 1 : 0;
+    runtime::ResponseHeader header;
+    header.result(runtime::http::status::ok);
+    header.set(kOutcomeField, ToString(outcome_));
+    header.set(kReasonField, ToString(model::RefusalReason::QueueFull));
+    header.set(runtime::http::field::content_length, "2");
+    (void)aExchange.SendHeader(std::move(header));
+    (void)aExchange.SendBody("ok");
+    (void)aExchange.Finish();
+  }
+
+  std::chrono::milliseconds work_;
+  model::RequestOutcome outcome_;
   int requests_ = 0;
+  int abandoned_ = 0;
   Server server_;
 };
 
@@ -112,7 +132,8 @@
   return owner;
 }
 
-/// A view with a route "/" to the service, which the daemons with the given addresses own.
+/// A view with a route "/" to the service, which the daemons with the given addresses own. The
+/// first of them is in the failure domain of the entry and so is asked first.
 inline TrafficViewPtr MakeView(const std::vector<model::Address>& aOwners)
 {
   model::ServiceConfig service;
@@ -130,6 +151,7 @@
     auto member = std::make_shared<model::MemberRecord>();
     member->id_ = model::DaemonId(ToString(address));
     member->forward_ = address;
+    member->domain_ = model::FailureDomain(view->endpoints_.empty() ? "" : "elsewhere");
     member->endpoint_ = model::Endpoint{ .service_ = model::ServiceName("service"), .slots_ = 4 };
     view->endpoints_.push_back(std::move(member));
   }
--- a/packages/runtime/include/hemlockproxy/runtime/Metrics.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Metrics.h
@@ -20,7 +20,7 @@
   RequestsForwarded,
   RequestsOwned,
   Retries,
-  AttemptsGivenUp,
+  SecondAttempts,
   ResponsesResumed,
   ResponsesTruncated,
   ClaimsGranted,
--- a/packages/runtime/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -23,7 +23,7 @@
   { "requests_forwarded_total", "Attempts sent to another daemon." },
   { "requests_owned_total", "Attempts run by this instance's backend server." },
   { "retries_total", "Attempts after the first." },
-  { "attempts_given_up_total", "Attempts without a response header for longer than usual." },
+  { "second_attempts_total", "Attempts started beside one that went without a response." },
   { "responses_resumed_total", "Responses continued from another endpoint." },
   { "responses_truncated_total",
     "Responses that ended before their length; the caller's connection was closed." },
