Let hemlockctl explain take its arguments

Operators saw 'Arguments did not match expected patterns' for every id and file.

Cause: docopt takes REQUEST-ID for a literal word, as only letters in capitals and underscores make a positional argument here; the tests called the function behind the command.

Change: the argument is named REQUEST.

--- a/packages/ctl/src/Main.cpp
+++ b/packages/ctl/src/Main.cpp
@@ -26,7 +26,7 @@
   hemlockctl history --log ADDR
   hemlockctl status --admin ADDR... [MORE...]
   hemlockctl timeline --admin ADDR... [MORE...] [--json]
-  hemlockctl explain REQUEST-ID FILE...
+  hemlockctl explain REQUEST FILE...
   hemlockctl (-h | --help)
 
 Options:
@@ -173,7 +173,7 @@
     text << file.rdbuf();
     files.push_back(LogFile{ path, text.str() });
   }
-  const FleetReport report = ExplainRequest(aArguments.at("REQUEST-ID").asString(), files);
+  const FleetReport report = ExplainRequest(aArguments.at("REQUEST").asString(), files);
   std::cout << report.text_ << std::flush;
   std::cerr << (report.code_ == ExitCode::Done ? report.errors_ : std::string());
   return { report.code_, report.code_ == ExitCode::Done ? std::string() : report.errors_ };
