End exchanges with servers that send without end

- interim responses (100) without end: each read got at least 1 ms more, although the deadline had passed.
The final response is now awaited until the deadline only.
- a chunk header without end: Beast buffered it without a bound.
Buffers hold 128 KiB now, or twice the header limit of callers where that is more.
- the body of a rejection without end: it was read to its end so that the connection could be used again. 4 KiB of it are read now.

A head without end met its limit before. A body that is passed on as it comes goes on until the caller leaves, which ends the exchange.

--- a/packages/daemon/src/HeldBody.cpp
+++ b/packages/daemon/src/HeldBody.cpp
@@ -34,11 +34,15 @@
 
 void DropRest(runtime::BodySource& aBody)
 {
+  // A rejection says why in a line; another connection costs less than reading more than this.
+  constexpr std::size_t kMostDropped = 4UL * 1024;
   std::array<char, 256> part{};
-  while (true) {
-    if (const auto read = aBody.Read(part.data(), part.size()); !read || *read == 0) {
+  for (std::size_t dropped = 0; dropped < kMostDropped;) {
+    const auto read = aBody.Read(part.data(), part.size());
+    if (!read || *read == 0) {
       return;
     }
+    dropped += *read;
   }
 }
 
--- a/packages/daemon/src/HttpUpstream.cpp
+++ b/packages/daemon/src/HttpUpstream.cpp
@@ -140,12 +140,14 @@
 
   HttpResult<runtime::ResponseHeader> ReadFinalHeader()
   {
-    while (true) {
+    // A faulty upstream may send interim responses without end.
+    while (std::chrono::steady_clock::now() < request_.deadline_) {
       auto header = connection_.ReadHeader(TimeLeft(request_.deadline_));
       if (!header || header->result_int() >= 200) {
         return header;
       }
     }
+    return HttpError{ HttpErrorKind::TimedOut, "no final response before the deadline" };
   }
 
   /// An upstream that rejects a body closes its side while the body is still sent; its response may
--- a/packages/daemon/src/impl/HeldBody.h
+++ b/packages/daemon/src/impl/HeldBody.h
@@ -71,7 +71,8 @@
 [[nodiscard]] runtime::HttpResult<std::string> ReadWhole(runtime::BodySource& aBody,
                                                          std::size_t aLength);
 
-/// Reads and drops the rest of a short body, so that its connection can be used again.
+/// Reads and drops the rest of a short body, so that its connection can be used again; a long one
+/// is left alone.
 void DropRest(runtime::BodySource& aBody);
 
 } // namespace hemlockproxy::daemon::impl
--- a/packages/runtime/src/HttpClient.cpp
+++ b/packages/runtime/src/HttpClient.cpp
@@ -196,7 +196,7 @@
   }
 
   impl::TcpStream stream_;
-  impl::beast::flat_buffer buffer_;
+  impl::beast::flat_buffer buffer_{ impl::kMostBuffered };
   std::optional<http::request<http::buffer_body>> request_;
   std::optional<http::request_serializer<http::buffer_body>> serializer_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
--- a/packages/runtime/src/HttpServer.cpp
+++ b/packages/runtime/src/HttpServer.cpp
@@ -233,6 +233,8 @@
   {
     parser_.emplace();
     parser_->header_limit(shared_->options_.headerBytes_);
+    buffer_.max_size(
+      std::max(impl::kMostBuffered, 2 * std::size_t{ shared_->options_.headerBytes_ }));
     parser_->body_limit(impl::kUnlimitedBody);
     response_.reset();
     serializer_.reset();
@@ -420,7 +422,7 @@
 
   impl::TcpStream stream_;
   std::shared_ptr<ServerShared> shared_;
-  impl::beast::flat_buffer buffer_;
+  impl::beast::flat_buffer buffer_{ impl::kMostBuffered };
   std::optional<http::request_parser<http::buffer_body>> parser_;
   impl::BodyCursor body_;
   std::optional<http::response<http::buffer_body>> response_;
--- a/packages/runtime/src/impl/HttpStream.h
+++ b/packages/runtime/src/impl/HttpStream.h
@@ -26,6 +26,10 @@
 /// is boost::none.
 inline constexpr std::uint64_t kUnlimitedBody = std::numeric_limits<std::uint64_t>::max();
 
+/// Bounds what is buffered of a message before its reader takes it: a head of the greatest size
+/// with the start of a body, or a chunk header with its extensions.
+inline constexpr std::size_t kMostBuffered = 128UL * 1024;
+
 /// Converts an error of the libraries below.
 [[nodiscard]] HttpError ToHttpError(const boost::system::error_code& aError);
 
@@ -96,7 +100,7 @@
   {
     if (!left_) {
       // Fewer, larger reads; a chunk header and its data usually come together.
-      aBuffer.reserve(aBuffer.size() + kParserReadBytes);
+      aBuffer.reserve(std::min(aBuffer.size() + kParserReadBytes, aBuffer.max_size()));
       return ReadBodyPart(aStream, aBuffer, aParser, aData, aSize, aTimeout);
     }
     const std::size_t wanted = static_cast<std::size_t>(std::min<std::uint64_t>(aSize, *left_));
