Give the server of the load tests a port that no other test gets

testing.TestLoad failed once on 2026-12-04: 7 of 10 requests to a killed server were counted as not run. The server listened on a port that the system chose; once it is killed any other test's server may get that port, and 30 ms are enough to answer three requests. It listens on a port of PortAllocator now, which other test processes do not use and the system does not choose.

No check is changed.

--- a/packages/testing/tests/TestLoadTest.cpp
+++ b/packages/testing/tests/TestLoadTest.cpp
@@ -9,6 +9,7 @@
 // CppUTest defines `new` as a macro, so it follows the other headers.
 #include "ProgramFixture.h"
 #include "hemlockproxy/testing/Content.h"
+#include "hemlockproxy/testing/PortAllocator.h"
 
 using namespace hemlockproxy::testing;
 using hemlockproxy::model::RequestOutcome;
@@ -16,7 +17,11 @@
 
 TEST_GROUP(TestLoad)
 {
-  ChildProcess backend_ = StartServer("hemlock-test-backend");
+  /// The port stays unused by others after the server is killed; another test's server would answer
+  /// on one that the system chose.
+  PortAllocator ports_;
+  ChildProcess backend_ = StartServer(
+    "hemlock-test-backend", { "--listen=127.0.0.1:" + std::to_string(ports_.Next().Value()) });
   int exitCode_ = -1;
 
   ChildProcess Start(const std::vector<std::string>& aArguments)
