Check deadline and quarantine again after a wait

Two more places were found by reading.

- RunExchange bounded the wait for a connection by the deadline and then sent the request, with 1 ms left, although it had passed.
- The owner asked the quarantine before a request waited for a slot; news of its crashes that came meanwhile did not count.

Both tests failed before (1 request reached the server, expected 0; the queued request ran).

--- a/packages/daemon/src/HttpUpstream.cpp
+++ b/packages/daemon/src/HttpUpstream.cpp
@@ -207,6 +207,11 @@
     return Refused(RequestOutcome::NotRun, RefusalReason::ConnectFailed);
   }
   HttpConnectionPtr connection = *std::move(acquired);
+  if (std::chrono::steady_clock::now() >= aRequest.deadline_) {
+    // The wait for the connection took the rest of the time.
+    aPool.Release(aAddress, std::move(connection));
+    return Refused(RequestOutcome::NotRun, RefusalReason::DeadlineTooShort);
+  }
   if (aRequest.cancel_ != nullptr) {
     if (aRequest.cancel_->CheckStopped()) {
       aPool.Release(aAddress, std::move(connection));
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -479,6 +479,12 @@
     reply.expectedWait_ = ExpectedWait(aRequest);
     return reply;
   }
+  // Peers may have told of a crash while the request waited.
+  if (std::holds_alternative<decisions::RejectQuarantined>(
+        quarantine_.Consider(std::chrono::steady_clock::now(), fingerprint))) {
+    Finish(id, FinishKind::Aborted);
+    return Refused(RequestOutcome::NotRun, RefusalReason::Quarantined);
+  }
   std::optional<impl::LimitedBody> limited;
   if (aRequest.rest_ != nullptr) {
     limited.emplace(*aRequest.rest_, bodyLimit - aRequest.body_.size());
--- a/packages/daemon/tests/OwnerServiceTest.cpp
+++ b/packages/daemon/tests/OwnerServiceTest.cpp
@@ -38,3 +38,34 @@
     LONGS_EQUAL(1, aBackend.Requests());
   });
 }
+
+// Guards against a poison request that runs because it waited while the news of its crashes came.
+TEST(OwnerService, RejectsAQueuedRequestThatPeersReportMeanwhile)
+{
+  runtime::RunInLoop([](const runtime::IoContextPtr& aIo) {
+    CountingServer backend(aIo, 2 * kSettle);
+    Surroundings surroundings;
+    const auto owner = MakeOwner(aIo, surroundings, backend.Address(), 1);
+    Server forward(aIo, [&](auto& aExchange) { owner->HandleForwarded(aExchange); });
+    forward.Start();
+    const auto request = ForwardedRequest(forward.Address());
+    auto poison = request;
+    poison.target("/poison");
+    const auto first = SendRequest(*aIo, forward.Address(), request);
+    boost::this_fiber::sleep_for(kSettle / 2);
+    const auto second = SendRequest(*aIo, forward.Address(), poison);
+    boost::this_fiber::sleep_for(kSettle / 2);
+    decisions::QuarantineRecord record;
+    record.fingerprint_ =
+      decisions::MakeFingerprint("GET", "/poison", ToString(model::HashBytes("")));
+    record.crashes_ = { { model::DaemonId("peer"), std::chrono::milliseconds(0) } };
+    record.rejectedAge_ = std::chrono::milliseconds(0);
+    record.rejections_ = 1;
+    owner->MergeQuarantine({ record });
+    CHECK_TRUE(first->ReadHeader(kExchangeTimeout).Ok());
+    const auto header = second->ReadHeader(kExchangeTimeout);
+    CHECK_TRUE(header.Ok());
+    STRCMP_EQUAL("quarantined", std::string((*header)[kReasonField]).c_str());
+    LONGS_EQUAL(1, backend.Requests());
+  });
+}
--- a/packages/daemon/tests/UpstreamTest.cpp
+++ b/packages/daemon/tests/UpstreamTest.cpp
@@ -85,6 +85,32 @@
   CHECK_TRUE(SendBody(malformed).reason_ == model::RefusalReason::MalformedBody);
 }
 
+// Guards against a request that is sent on after its deadline, since only the wait for a connection
+// was bounded by it.
+TEST(Upstream, SendsNothingAfterTheDeadline)
+{
+  int requests = 0;
+  UpstreamReply reply;
+  runtime::RunInLoop([&](const runtime::IoContextPtr& aIo) {
+    auto server = runtime::HttpServer::Create(
+      aIo, model::Address{ "127.0.0.1", 0 }, {}, [&requests](runtime::HttpExchange& aExchange) {
+        ++requests;
+        (void)aExchange.SendResponse(runtime::http::status::ok, "late");
+      });
+    (*server)->Start();
+    runtime::HttpConnectionPool pool(aIo, 1, std::chrono::milliseconds(1000));
+    UpstreamRequest request;
+    request.header_ =
+      runtime::MakeRequest(runtime::http::verb::get, "/", (*server)->LocalAddress());
+    request.deadline_ = std::chrono::steady_clock::now();
+    reply = RunExchange(pool, (*server)->LocalAddress(), request, {});
+    (*server)->Stop();
+  });
+  LONGS_EQUAL(0, requests);
+  CHECK_TRUE(reply.outcome_ == model::RequestOutcome::NotRun);
+  CHECK_TRUE(reply.reason_ == model::RefusalReason::DeadlineTooShort);
+}
+
 // Guards against a body of unknown length that passes the limit.
 TEST(Upstream, LimitsABodyOfUnknownLength)
 {
