Let the tests of the owner wait for its ticker

The fiber that ticks the admission queue uses the service until its next turn, 5 ms after the queue is empty. The new tests destroyed the service at once, and one of them hung once in a loop over freed memory. The fixture waits, as the entry's does; in the daemon the services outlive the fibers.

--- a/packages/daemon/tests/OwnerServiceTest.cpp
+++ b/packages/daemon/tests/OwnerServiceTest.cpp
@@ -8,19 +8,33 @@
 
 namespace {
 
-/// Runs a story with an owner whose backend server counts requests.
-void WithOwner(
-  const std::function<void(const runtime::IoContextPtr&, Server&, CountingServer&)>& aStory)
+/// An owner with the listener for other daemons.
+class Owner
 {
-  runtime::RunInLoop([&](const runtime::IoContextPtr& aIo) {
-    CountingServer backend(aIo);
-    Surroundings surroundings;
-    const auto owner = MakeOwner(aIo, surroundings, backend.Address());
-    Server forward(aIo, [&](auto& aExchange) { owner->HandleForwarded(aExchange); });
-    forward.Start();
-    aStory(aIo, forward, backend);
-  });
-}
+public:
+  Owner(const runtime::IoContextPtr& aIo, const model::Address& aBackend, std::uint32_t aSlots = 4)
+    : service_(MakeOwner(aIo, surroundings_, aBackend, aSlots))
+  {
+    forward_.emplace(aIo, [this](auto& aExchange) { service_->HandleForwarded(aExchange); });
+    forward_->Start();
+  }
+  ~Owner()
+  {
+    forward_.reset();
+    // The ticker of the queue uses the service until its next turn.
+    boost::this_fiber::sleep_for(kSettle);
+  }
+  Owner(const Owner&) = delete;
+  Owner& operator=(const Owner&) = delete;
+
+  [[nodiscard]] OwnerService& Service() { return *service_; }
+  [[nodiscard]] model::Address Address() const { return forward_->Address(); }
+
+private:
+  Surroundings surroundings_;
+  std::unique_ptr<OwnerService> service_;
+  std::optional<Server> forward_;
+};
 
 } // namespace
 
@@ -29,13 +43,15 @@
 // Guards against work for a caller that left while its request waited to be read.
 TEST(OwnerService, SendsNothingOnForACallerThatLeftBeforeItsRequestWasRead)
 {
-  WithOwner([](const runtime::IoContextPtr& aIo, Server& aForward, CountingServer& aBackend) {
-    const auto request = ForwardedRequest(aForward.Address());
+  runtime::RunInLoop([](const runtime::IoContextPtr& aIo) {
+    CountingServer backend(aIo);
+    const Owner owner(aIo, backend.Address());
+    const auto request = ForwardedRequest(owner.Address());
     // Leaves an idle connection to the backend server, on which a request is sent at once.
-    LONGS_EQUAL(200, StatusOf(*aIo, aForward.Address(), request));
-    SendAndLeave(aForward.Address(), request);
+    LONGS_EQUAL(200, StatusOf(*aIo, owner.Address(), request));
+    SendAndLeave(owner.Address(), request);
     boost::this_fiber::sleep_for(kSettle);
-    LONGS_EQUAL(1, aBackend.Requests());
+    LONGS_EQUAL(1, backend.Requests());
   });
 }
 
@@ -44,16 +60,13 @@
 {
   runtime::RunInLoop([](const runtime::IoContextPtr& aIo) {
     CountingServer backend(aIo, 2 * kSettle);
-    Surroundings surroundings;
-    const auto owner = MakeOwner(aIo, surroundings, backend.Address(), 1);
-    Server forward(aIo, [&](auto& aExchange) { owner->HandleForwarded(aExchange); });
-    forward.Start();
-    const auto request = ForwardedRequest(forward.Address());
+    Owner owner(aIo, backend.Address(), 1);
+    const auto request = ForwardedRequest(owner.Address());
     auto poison = request;
     poison.target("/poison");
-    const auto first = SendRequest(*aIo, forward.Address(), request);
+    const auto first = SendRequest(*aIo, owner.Address(), request);
     boost::this_fiber::sleep_for(kSettle / 2);
-    const auto second = SendRequest(*aIo, forward.Address(), poison);
+    const auto second = SendRequest(*aIo, owner.Address(), poison);
     boost::this_fiber::sleep_for(kSettle / 2);
     decisions::QuarantineRecord record;
     record.fingerprint_ =
@@ -61,7 +74,7 @@
     record.crashes_ = { { model::DaemonId("peer"), std::chrono::milliseconds(0) } };
     record.rejectedAge_ = std::chrono::milliseconds(0);
     record.rejections_ = 1;
-    owner->MergeQuarantine({ record });
+    owner.Service().MergeQuarantine({ record });
     CHECK_TRUE(first->ReadHeader(kExchangeTimeout).Ok());
     const auto header = second->ReadHeader(kExchangeTimeout);
     CHECK_TRUE(header.Ok());
