--- a/packages/ctl/tests/MainTest.cpp
+++ b/packages/ctl/tests/MainTest.cpp
@@ -17,6 +17,7 @@
 {
   aArguments.insert(aArguments.begin(), "hemlockctl");
   std::vector<char*> pointers;
+  pointers.reserve(aArguments.size());
   for (std::string& argument : aArguments) {
     pointers.push_back(argument.data());
   }
@@ -42,7 +43,7 @@
 
   std::string Write(const char* aName, const char* aText) const
   {
-    const std::string path = folder_ + "/" + aName;
+    std::string path = folder_ + "/" + aName;
     std::ofstream(path) << aText;
     return path;
   }
