Write without a wait what the system takes at once; parse whole headers at once

Cause: an asynchronous write that completes immediately posts its completion, which interrupts the loop and costs two system calls beside the write itself. The end of a response posted one without writing anything. Each request header started a timer and an asynchronous read although the first read had brought it whole.

Change: WriteBodyPart writes to the non-blocking socket and waits only for what the system does not take. ReadHeader parses what the first read brought and waits only for the rest of a header that came in part.

--- a/packages/runtime/src/impl/HttpStream.h
+++ b/packages/runtime/src/impl/HttpStream.h
@@ -134,14 +134,28 @@
 };
 
 /// Writes what the serializer holds; a body that wants more data is no error.
+///
+/// What the system takes at once is written without a wait: an asynchronous write that completes
+/// immediately still wakes the loop, which costs more system calls than the write.
 template <typename Serializer>
 [[nodiscard]] HttpResult<std::size_t> WriteBodyPart(TcpStream& aStream,
                                                     Serializer& aSerializer,
                                                     std::chrono::milliseconds aTimeout)
 {
-  aStream.expires_after(aTimeout);
-  const IoCompletion done =
-    Await([&](auto aHandler) { http::async_write(aStream, aSerializer, std::move(aHandler)); });
+  IoCompletion done;
+  if (!aStream.socket().non_blocking()) {
+    aStream.socket().non_blocking(true, done.error_);
+  }
+  while (!done.error_ && !aSerializer.is_done()) {
+    done.bytes_ += http::write_some(aStream.socket(), aSerializer, done.error_);
+  }
+  if (done.error_ == asio::error::would_block) {
+    aStream.expires_after(aTimeout);
+    const IoCompletion rest =
+      Await([&](auto aHandler) { http::async_write(aStream, aSerializer, std::move(aHandler)); });
+    done.error_ = rest.error_;
+    done.bytes_ += rest.bytes_;
+  }
   if (done.error_ && done.error_ != http::error::need_buffer) {
     return ToHttpError(done.error_);
   }
--- a/packages/runtime/src/impl/ServerConnection.h
+++ b/packages/runtime/src/impl/ServerConnection.h
@@ -245,9 +245,24 @@
     return !done.error_;
   }
 
-  /// Reads the header within its time. The timer only cancels the read: the stream's own timeout
-  /// closes the socket, after which the caller could not be told.
+  /// Reads the header within its time.
   std::optional<HttpError> ReadHeader()
+  {
+    // Most headers arrive whole; these need neither a timer nor a wait.
+    boost::system::error_code error;
+    buffer_.consume(parser_->put(buffer_.data(), error));
+    if (!error && parser_->is_header_done()) {
+      return std::nullopt;
+    }
+    if (error && error != http::error::need_more) {
+      return ToHttpError(error);
+    }
+    return ReadRestOfHeader();
+  }
+
+  /// Waits for a header that came in part. The timer only cancels the read: the stream's own
+  /// timeout closes the socket, after which the caller could not be told.
+  std::optional<HttpError> ReadRestOfHeader()
   {
     bool timedOut = false;
     Timer timer(stream_.get_executor(), shared_->options_.headerTimeout_);
