Space the parts of long bodies by the link

Cause: the system takes a long body at once, so that up to two windows of it wait on the link of the instance, 60 to 120 ms on 11.9 Mbit/s. Every short response of the instance waits behind them. Calls by backend servers took 126 to 151 ms at the median for 46 ms of work, and a lookup holds a slot of its own service while it makes two of them: the owners of that service were 13 of 13 busy and rejected 76,921 requests as queue-full in 37 s.

Change: TransferQueue schedules the parts of long bodies, 16 KiB each, at their share of the link's rate; the owner sends each when its time has come. Tests: TransferQueue/SpacesThePartsOfLongBodiesByTheLink, and OwnerService/SendsALongBodyNoFasterThanItsLink, which fails without the pace.

--- a/packages/daemon/src/Delivery.cpp
+++ b/packages/daemon/src/Delivery.cpp
@@ -127,18 +127,40 @@
   (void)aExchange.Finish();
 }
 
-DeliveryResult Deliver(runtime::HttpExchange& aExchange, UpstreamReply& aReply)
+namespace {
+
+/// Sends a body that is held whole. Without a pace it takes one write for header and body.
+bool SendHeld(runtime::HttpExchange& aExchange, std::string_view aBody, const DeliveryPace& aPace)
+{
+  const std::size_t most = aPace.beforePart_ ? aPace.partBytes_ : aBody.size();
+  while (!aBody.empty()) {
+    const std::string_view part = aBody.substr(0, most);
+    if (aPace.beforePart_) {
+      aPace.beforePart_(part.size());
+    }
+    if (!aExchange.SendBody(part)) {
+      return false;
+    }
+    aBody.remove_prefix(part.size());
+  }
+  return static_cast<bool>(aExchange.Finish());
+}
+
+} // namespace
+
+DeliveryResult Deliver(runtime::HttpExchange& aExchange,
+                       UpstreamReply& aReply,
+                       const DeliveryPace& aPace)
 {
   runtime::RemoveHopByHopFields(aReply.header_);
   if (!aExchange.SendHeader(std::move(aReply.header_))) {
     return DeliveryResult::CallerGone;
   }
   if (const auto held = aReply.body_->Held()) {
-    // One write for header and body.
-    return aExchange.SendBody(*held) && aExchange.Finish() ? DeliveryResult::Complete
-                                                           : DeliveryResult::CallerGone;
+    return SendHeld(aExchange, *held, aPace) ? DeliveryResult::Complete
+                                             : DeliveryResult::CallerGone;
   }
-  std::string part(runtime::kBodyPartBytes, '\0');
+  std::string part(aPace.partBytes_, '\0');
   while (true) {
     auto read = aReply.body_->Read(part.data(), part.size());
     if (!read) {
@@ -148,6 +170,9 @@
     if (*read == 0) {
       break;
     }
+    if (aPace.beforePart_) {
+      aPace.beforePart_(*read);
+    }
     if (!aExchange.SendBody({ part.data(), *read })) {
       return DeliveryResult::CallerGone;
     }
--- a/packages/daemon/src/LinkScheduler.cpp
+++ b/packages/daemon/src/LinkScheduler.cpp
@@ -1,5 +1,7 @@
 #include "impl/LinkScheduler.h"
 
+#include <boost/fiber/operations.hpp>
+
 #include <chrono>
 
 namespace hemlockproxy::daemon::impl {
@@ -54,4 +56,15 @@
   aCancel.SetAction({});
 }
 
+DeliveryPace LinkTicket::Pace()
+{
+  if (!scheduler_.queue_.IsSending(id_)) {
+    return {};
+  }
+  return { decisions::kTransferPartBytes, [this](std::size_t aBytes) {
+            boost::this_fiber::sleep_until(
+              scheduler_.queue_.SchedulePart(std::chrono::steady_clock::now(), aBytes));
+          } };
+}
+
 } // namespace hemlockproxy::daemon::impl
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -577,7 +577,7 @@
     reply.header_.set(kLoadField, std::to_string(*reply.load_));
   }
   link.WaitForTurn(request.work_.label_, impl::BodyLengthOf(reply.header_), cancel);
-  (void)impl::Deliver(aExchange, reply);
+  (void)impl::Deliver(aExchange, reply, link.Pace());
 }
 
 void OwnerService::NoteCallerLeft(std::string_view aId,
--- a/packages/daemon/src/impl/Delivery.h
+++ b/packages/daemon/src/impl/Delivery.h
@@ -4,7 +4,9 @@
 #include "hemlockproxy/runtime/HttpServer.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -49,7 +51,18 @@
   CallerGone,
 };
 
-/// Streams a response to the caller.
-[[nodiscard]] DeliveryResult Deliver(runtime::HttpExchange& aExchange, UpstreamReply& aReply);
+/// Decides the pace at which a body is sent.
+struct DeliveryPace
+{
+  /// The size of the parts, in bytes.
+  std::size_t partBytes_ = runtime::kBodyPartBytes;
+  /// Called with the size of each part before it is sent; may wait.
+  std::function<void(std::size_t)> beforePart_;
+};
+
+/// Streams a response to the caller, in parts of a pace where there is one.
+[[nodiscard]] DeliveryResult Deliver(runtime::HttpExchange& aExchange,
+                                     UpstreamReply& aReply,
+                                     const DeliveryPace& aPace = {});
 
 } // namespace hemlockproxy::daemon::impl
--- a/packages/daemon/src/impl/LinkScheduler.h
+++ b/packages/daemon/src/impl/LinkScheduler.h
@@ -3,6 +3,8 @@
 #include "hemlockproxy/daemon/CancelSource.h"
 #include "hemlockproxy/decisions/TransferQueue.h"
 
+#include "impl/Delivery.h"
+
 #include <boost/fiber/future/promise.hpp>
 
 #include <cstdint>
@@ -56,6 +58,8 @@
   void WaitForTurn(const std::string& aLabel,
                    std::optional<std::uint64_t> aBytes,
                    CancelSource& aCancel);
+  /// Returns the pace of the body once its turn has come; a short body has none.
+  [[nodiscard]] DeliveryPace Pace();
 
 private:
   LinkScheduler& scheduler_;
--- a/packages/daemon/tests/OwnerServiceTest.cpp
+++ b/packages/daemon/tests/OwnerServiceTest.cpp
@@ -12,8 +12,11 @@
 class Owner
 {
 public:
-  Owner(const runtime::IoContextPtr& aIo, const model::Address& aBackend, std::uint32_t aSlots = 4)
-    : service_(MakeOwner(aIo, surroundings_, aBackend, aSlots))
+  Owner(const runtime::IoContextPtr& aIo,
+        const model::Address& aBackend,
+        std::uint32_t aSlots = 4,
+        std::uint64_t aLinkBytesPerSecond = 0)
+    : service_(MakeOwner(aIo, surroundings_, aBackend, aSlots, aLinkBytesPerSecond))
   {
     forward_.emplace(aIo, [this](auto& aExchange) { service_->HandleForwarded(aExchange); });
     forward_->Start();
@@ -82,3 +85,34 @@
     LONGS_EQUAL(1, backend.Requests());
   });
 }
+
+// Guards against a long body that fills the link, so that other responses wait behind it.
+TEST(OwnerService, SendsALongBodyNoFasterThanItsLink)
+{
+  runtime::RunInLoop([](const runtime::IoContextPtr& aIo) {
+    constexpr std::size_t kBody = 4 * decisions::kTransferPartBytes;
+    constexpr std::uint64_t kLinkBytesPerSecond = 1'000'000;
+    // The last of four parts starts after three of them, even at the whole link's rate.
+    constexpr std::chrono::milliseconds kLeast(3 * decisions::kTransferPartBytes * 1000 /
+                                               kLinkBytesPerSecond);
+    Server backend(aIo, [&](runtime::HttpExchange& aExchange) {
+      (void)aExchange.SendResponse(
+        runtime::http::status::ok, std::string(kBody, 'x'), "application/octet-stream");
+    });
+    backend.Start();
+    const Owner owner(aIo, backend.Address(), 4, kLinkBytesPerSecond);
+    const auto connection = SendRequest(*aIo, owner.Address(), ForwardedRequest(owner.Address()));
+    const auto started = std::chrono::steady_clock::now();
+    CHECK_TRUE(connection->ReadHeader(kExchangeTimeout).Ok());
+    std::string part(kBody, '\0');
+    std::size_t received = 0;
+    while (const auto read = connection->Read(part.data(), part.size())) {
+      if (*read == 0) {
+        break;
+      }
+      received += *read;
+    }
+    LONGS_EQUAL(kBody, received);
+    CHECK_TRUE(std::chrono::steady_clock::now() - started >= kLeast);
+  });
+}
--- a/packages/daemon/tests/TrafficFixture.h
+++ b/packages/daemon/tests/TrafficFixture.h
@@ -111,9 +111,11 @@
 inline std::unique_ptr<OwnerService> MakeOwner(const runtime::IoContextPtr& aIo,
                                                Surroundings& aSurroundings,
                                                const model::Address& aBackend,
-                                               std::uint32_t aSlots = 4)
+                                               std::uint32_t aSlots = 4,
+                                               std::uint64_t aLinkBytesPerSecond = 0)
 {
   OwnerOptions options;
+  options.link_.bytesPerSecond_ = aLinkBytesPerSecond;
   options.self_ = model::DaemonId("owner");
   options.dialect_ = MakeHemlockDialect();
   auto owner = std::make_unique<OwnerService>(
--- a/packages/decisions/include/hemlockproxy/decisions/TransferQueue.h
+++ b/packages/decisions/include/hemlockproxy/decisions/TransferQueue.h
@@ -29,6 +29,10 @@
   std::size_t shortBytes_ = 16UL * 1024;
 };
 
+/// The size of the parts in which long bodies are sent, in bytes. A short response waits behind one
+/// of them: 11 ms on a link of 12 Mbit/s.
+inline constexpr std::size_t kTransferPartBytes = 16UL * 1024;
+
 struct TransferQueueError
 {
   std::string message_;
@@ -55,7 +59,8 @@
 ///     if (!transfers.Fits(now, demand)) { return QueueFull; }
 ///     transfers.Reserve(id, label);
 ///     ...
-///     if (transfers.Arrive(now, id, bytes) == TransferTurn::Now) { Send(id); }
+///     if (transfers.Arrive(now, id, label, bytes) == Turn::Now) { Send(id); }
+///     ... before each part: SleepUntil(transfers.SchedulePart(now, partBytes));
 ///     for (RequestId next : transfers.Finish(now, id)) { Send(next); }
 class TransferQueue
 {
@@ -82,6 +87,11 @@
                             RequestId aId,
                             const std::string& aLabel,
                             std::optional<std::uint64_t> aBytes);
+  /// Returns when the next part of a long body may be sent, and counts it as sent then. All long
+  /// bodies together get the rate of their share, so that the link holds about one part of them.
+  [[nodiscard]] model::TimePoint SchedulePart(model::TimePoint aNow, std::size_t aBytes);
+  /// Returns whether a request's body is a long one that is being sent.
+  [[nodiscard]] bool IsSending(RequestId aId) const;
   /// Ends a request, whatever became of it; returns the transfers that start now. Unknown ids are
   /// ignored.
   [[nodiscard]] std::vector<RequestId> Finish(model::TimePoint aNow, RequestId aId);
@@ -122,6 +132,8 @@
   std::unordered_map<RequestId, Transfer> transfers_;
   std::deque<RequestId> waiting_;
   std::size_t sending_ = 0;
+  /// When the parts that were scheduled have left, at the rate of the share.
+  model::TimePoint partsLeft_{};
   /// Mean sizes of bodies, in bytes.
   std::unordered_map<std::string, double> meanBytes_;
 };
--- a/packages/decisions/src/TransferQueue.cpp
+++ b/packages/decisions/src/TransferQueue.cpp
@@ -113,6 +113,19 @@
   ++sending_;
 }
 
+TimePoint TransferQueue::SchedulePart(TimePoint aNow, std::size_t aBytes)
+{
+  const TimePoint at = std::max(aNow, partsLeft_);
+  partsLeft_ = at + TimeFor(static_cast<double>(aBytes));
+  return at;
+}
+
+bool TransferQueue::IsSending(RequestId aId) const
+{
+  const auto found = transfers_.find(aId);
+  return found != transfers_.end() && found->second.sending_;
+}
+
 std::vector<RequestId> TransferQueue::Finish(TimePoint aNow, RequestId aId)
 {
   const auto found = transfers_.find(aId);
--- a/packages/decisions/tests/TransferQueueTest.cpp
+++ b/packages/decisions/tests/TransferQueueTest.cpp
@@ -141,6 +141,25 @@
   CHECK_TRUE(queue.Backlog(At(milliseconds(200))) == milliseconds(0));
 }
 
+// Guards against short responses that wait behind all that a long body puts on the link at once.
+TEST(TransferQueue, SpacesThePartsOfLongBodiesByTheLink)
+{
+  TransferQueue queue = Make(2);
+  const TimePoint start = At(milliseconds(5));
+  for (const std::uint64_t id : { 1, 2 }) {
+    CHECK_TRUE(queue.Arrive(start, RequestId(id), "download", kBody) == Turn::Now);
+    CHECK_TRUE(queue.IsSending(RequestId(id)));
+  }
+  // Parts of both bodies by turns: together they get the rate of the link.
+  for (int part = 0; part < 10; ++part) {
+    CHECK_TRUE(queue.SchedulePart(start, 10'000) == start + part * milliseconds(10));
+  }
+  // A pause is not made up for by a burst.
+  const TimePoint later = start + milliseconds(500);
+  CHECK_TRUE(queue.SchedulePart(later, 10'000) == later);
+  CHECK_TRUE(queue.SchedulePart(later, 10'000) == later + milliseconds(10));
+}
+
 // Guards against a daemon that rejects or delays where it does not know its link.
 TEST(TransferQueue, DoesNothingWithoutARate)
 {
@@ -151,7 +170,10 @@
     CHECK_TRUE(queue.Fits(now, Demand(milliseconds(0), milliseconds(1))));
     queue.Reserve(RequestId(id), "download");
     CHECK_TRUE(queue.Arrive(now, RequestId(id), "download", kBody) == Turn::Now);
+    CHECK_FALSE(queue.IsSending(RequestId(id)));
   }
+  CHECK_TRUE(queue.SchedulePart(now, kBody) == now);
+  CHECK_TRUE(queue.SchedulePart(now, kBody) == now);
 }
 
 TEST(TransferQueue, RejectsOptionsThatSendNothing)
