Weigh a round trip between failure domains four times

Cause: an entry left its own failure domain as soon as the wait there exceeded one round trip, 8 ms.

Change: the entry's chooser gets a link factor of 4; the mechanism and its test (EndpointChooserTest) were there.

Conclusion: kept at 4.

--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -25,6 +25,10 @@
 /// The part of the shared retry limit that this daemon's own retries may use. The rest is left for
 /// the calls of repeated requests, which count as repeats at the services that they call.
 constexpr double kOwnRetryPart = 0.5;
+/// How many round trips to another failure domain a request rather waits for in its own: bytes
+/// between domains are paid for, and load another instance's link. 10 made callers wait too long
+/// for full owners (docs/decisions/endpoint-choice.md).
+constexpr double kDomainCrossingFactor = 4;
 /// Metrics are fetched every few seconds.
 constexpr std::chrono::milliseconds kFiguresInterval{ 1000 };
 
@@ -146,6 +150,7 @@
   if (!target.chooser_) {
     decisions::EndpointChooserOptions options;
     options.ownDomain_ = options_.domain_;
+    options.defaultLink_.factor_ = kDomainCrossingFactor;
     target.chooser_.emplace(*decisions::EndpointChooser::Create(std::move(options)));
     RefreshRetries(aView, aService, target);
   }
