Leave long bodies what short responses do not use

Cause: long bodies had 0.8 of the link, whatever the short responses of the instance took beside them. Where backend servers call the service, short responses take about a third of a link of 11.9 Mbit/s, so that the link was full and they waited.

Change: TransferQueue counts all responses that the owner sends; the parts of long bodies get what short ones leave of 0.9 of the link. 0.7 of it is promised to long bodies when requests are admitted. Test: TransferQueue/LeavesLongBodiesWhatShortOnesDoNotUse.

--- a/packages/decisions/include/hemlockproxy/decisions/TransferQueue.h
+++ b/packages/decisions/include/hemlockproxy/decisions/TransferQueue.h
@@ -19,13 +19,17 @@
   /// The rate of the instance's link; 0 means that it is not known, and nothing waits or is
   /// rejected.
   std::uint64_t bytesPerSecond_ = 0;
-  /// The share of the link that long bodies may take. The rest is left for what is not queued here:
-  /// short responses, requests, and responses to callers of this instance.
-  double share_ = 0.8;
+  /// The share of the link that is promised to long bodies. The rest is left for short responses,
+  /// which may take a third of the link where backend servers call the service
+  /// (docs/decisions/link.md).
+  double share_ = 0.7;
+  /// The share that responses of all sizes may take. The rest is left for what is not counted here:
+  /// requests, responses to callers of this instance, and the headers of packets.
+  double sendShare_ = 0.9;
   /// Transfers at a time: more than one, so that a slow receiver does not leave the link idle, and
   /// few, since all else that leaves the instance waits behind what they have in flight.
   std::size_t atOnce_ = 2;
-  /// A body up to this size neither waits nor counts, in bytes.
+  /// A body up to this size does not wait, in bytes.
   std::size_t shortBytes_ = 16UL * 1024;
 };
 
@@ -87,8 +91,8 @@
                             RequestId aId,
                             const std::string& aLabel,
                             std::optional<std::uint64_t> aBytes);
-  /// Returns when the next part of a long body may be sent, and counts it as sent then. All long
-  /// bodies together get the rate of their share, so that the link holds about one part of them.
+  /// Returns when the next part of a long body may be sent, and counts it as sent then. Long bodies
+  /// get what short ones leave, so that the link holds about one part of them.
   [[nodiscard]] model::TimePoint SchedulePart(model::TimePoint aNow, std::size_t aBytes);
   /// Returns whether a request's body is a long one that is being sent.
   [[nodiscard]] bool IsSending(RequestId aId) const;
@@ -119,12 +123,14 @@
   {
   }
 
+  /// Returns the rate of long bodies, in bytes per second.
   [[nodiscard]] double Rate() const noexcept
   {
     return static_cast<double>(options_.bytesPerSecond_) * options_.share_;
   }
   [[nodiscard]] double ExpectedBytes(const std::string& aLabel) const;
-  [[nodiscard]] model::Duration TimeFor(double aBytes) const;
+  /// Returns how long a share of the link needs for some bytes.
+  [[nodiscard]] model::Duration TimeFor(double aBytes, double aShare) const;
   void Learn(const std::string& aLabel, double aBytes);
   void Start(model::TimePoint aNow, Transfer& aTransfer);
 
@@ -132,8 +138,8 @@
   std::unordered_map<RequestId, Transfer> transfers_;
   std::deque<RequestId> waiting_;
   std::size_t sending_ = 0;
-  /// When the parts that were scheduled have left, at the rate of the share.
-  model::TimePoint partsLeft_{};
+  /// When all responses that were sent or scheduled have left.
+  model::TimePoint sentAt_{};
   /// Mean sizes of bodies, in bytes.
   std::unordered_map<std::string, double> meanBytes_;
 };
--- a/packages/decisions/src/TransferQueue.cpp
+++ b/packages/decisions/src/TransferQueue.cpp
@@ -12,6 +12,8 @@
 
 /// The weight of a new size; the mean follows a change within about 20 responses.
 constexpr double kSizeWeight = 0.1;
+/// The size of a response's header with the headers of its packets; it counts for short bodies.
+constexpr double kHeaderBytes = 500;
 /// A deployment has a few kinds of requests for each service.
 constexpr std::size_t kMostLabels = 256;
 
@@ -23,6 +25,9 @@
   if (!(aOptions.share_ > 0 && aOptions.share_ <= 1)) {
     return TransferQueueError{ "share: expected more than 0 and at most 1" };
   }
+  if (!(aOptions.sendShare_ > 0 && aOptions.sendShare_ <= 1)) {
+    return TransferQueueError{ "share of all responses: expected more than 0 and at most 1" };
+  }
   if (aOptions.atOnce_ == 0) {
     return TransferQueueError{ "transfers at once: found 0, expected at least 1" };
   }
@@ -37,11 +42,13 @@
   return isLong ? mean->second : 0;
 }
 
-Duration TransferQueue::TimeFor(double aBytes) const
+Duration TransferQueue::TimeFor(double aBytes, double aShare) const
 {
-  return options_.bytesPerSecond_ == 0
-           ? Duration{}
-           : std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aBytes / Rate()));
+  if (options_.bytesPerSecond_ == 0) {
+    return {};
+  }
+  const double rate = static_cast<double>(options_.bytesPerSecond_) * aShare;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aBytes / rate));
 }
 
 Duration TransferQueue::Backlog(TimePoint aNow) const
@@ -55,7 +62,7 @@
     }
     bytes += std::max(0.0, left);
   }
-  return TimeFor(bytes);
+  return TimeFor(bytes, options_.share_);
 }
 
 bool TransferQueue::Fits(TimePoint aNow, const TransferDemand& aDemand) const
@@ -66,7 +73,8 @@
   }
   const Duration backlog = Backlog(aNow);
   return backlog == Duration{} ||
-         std::max(aDemand.ready_, aNow + backlog) + TimeFor(bytes) < aDemand.target_;
+         std::max(aDemand.ready_, aNow + backlog) + TimeFor(bytes, options_.share_) <
+           aDemand.target_;
 }
 
 void TransferQueue::Reserve(RequestId aId, const std::string& aLabel)
@@ -86,6 +94,7 @@
   Transfer& transfer = transfers_[aId];
   if (bytes <= static_cast<double>(options_.shortBytes_) || options_.bytesPerSecond_ == 0) {
     transfer.bytes_ = 0;
+    sentAt_ = std::max(aNow, sentAt_) + TimeFor(bytes + kHeaderBytes, options_.sendShare_);
     return Turn::Now;
   }
   transfer.bytes_ = bytes;
@@ -115,8 +124,8 @@
 
 TimePoint TransferQueue::SchedulePart(TimePoint aNow, std::size_t aBytes)
 {
-  const TimePoint at = std::max(aNow, partsLeft_);
-  partsLeft_ = at + TimeFor(static_cast<double>(aBytes));
+  const TimePoint at = std::max(aNow, sentAt_);
+  sentAt_ = at + TimeFor(static_cast<double>(aBytes), options_.sendShare_);
   return at;
 }
 
--- a/packages/decisions/tests/TransferQueueTest.cpp
+++ b/packages/decisions/tests/TransferQueueTest.cpp
@@ -26,7 +26,7 @@
 TransferQueue Make(std::size_t aAtOnce = 2)
 {
   return TransferQueue::Create(
-           { .bytesPerSecond_ = kBytesPerSecond, .share_ = 1, .atOnce_ = aAtOnce })
+           { .bytesPerSecond_ = kBytesPerSecond, .share_ = 1, .sendShare_ = 1, .atOnce_ = aAtOnce })
     .Value();
 }
 
@@ -160,6 +160,24 @@
   CHECK_TRUE(queue.SchedulePart(later, 10'000) == later + milliseconds(10));
 }
 
+// Guards against long bodies that fill the link where many short responses use it, too.
+TEST(TransferQueue, LeavesLongBodiesWhatShortOnesDoNotUse)
+{
+  constexpr std::uint64_t kShort = 10'000;
+  constexpr std::size_t kPart = 10'000;
+  TransferQueue queue = Make(1);
+  CHECK_TRUE(queue.Arrive(At(milliseconds(0)), RequestId(1), "download", kBody) == Turn::Now);
+  TimePoint end = At(milliseconds(0));
+  std::uint64_t id = 2;
+  for (std::uint64_t sent = 0; sent < kBody; sent += kPart) {
+    end = queue.SchedulePart(end, kPart);
+    // A short response for each part: the long body gets less than half of the link.
+    CHECK_TRUE(queue.Arrive(end, RequestId(id), "lookup", kShort) == Turn::Now);
+    (void)queue.Finish(end, RequestId(id++));
+  }
+  CHECK_TRUE(end >= At(2 * kBodyTime - milliseconds(20)));
+}
+
 // Guards against a daemon that rejects or delays where it does not know its link.
 TEST(TransferQueue, DoesNothingWithoutARate)
 {
@@ -179,6 +197,7 @@
 TEST(TransferQueue, RejectsOptionsThatSendNothing)
 {
   CHECK_FALSE(TransferQueue::Create({ .share_ = 0 }).Ok());
+  CHECK_FALSE(TransferQueue::Create({ .sendShare_ = 0 }).Ok());
   CHECK_FALSE(TransferQueue::Create({ .atOnce_ = 0 }).Ok());
 }
 
