Give long bodies a least share of the link

Cause: the parts of long bodies wait until all short responses that were sent have left at 0.9 of the link. Where short responses take more than that, the wait grows without bound, and a download that has begun stands still until its caller gives up.

Change: long bodies get a quarter of the link at least. Test: TransferQueue/KeepsLongBodiesGoingBesideShortOnesThatFillTheLink, which failed before: a body of 100 ms of the link took more than 400 ms.

--- a/packages/decisions/include/hemlockproxy/decisions/TransferQueue.h
+++ b/packages/decisions/include/hemlockproxy/decisions/TransferQueue.h
@@ -26,6 +26,9 @@
   /// The share that responses of all sizes may take. The rest is left for what is not counted here:
   /// requests, responses to callers of this instance, and the headers of packets.
   double sendShare_ = 0.9;
+  /// The share that long bodies get at least, however many short ones there are: a download that
+  /// stands still is given up by its caller.
+  double leastShare_ = 0.25;
   /// Transfers at a time: more than one, so that a slow receiver does not leave the link idle, and
   /// few, since all else that leaves the instance waits behind what they have in flight.
   std::size_t atOnce_ = 2;
@@ -92,7 +95,7 @@
                             const std::string& aLabel,
                             std::optional<std::uint64_t> aBytes);
   /// Returns when the next part of a long body may be sent, and counts it as sent then. Long bodies
-  /// get what short ones leave, so that the link holds about one part of them.
+  /// get what short ones leave, so that the link holds about one part of them, and a least share.
   [[nodiscard]] model::TimePoint SchedulePart(model::TimePoint aNow, std::size_t aBytes);
   /// Returns whether a request's body is a long one that is being sent.
   [[nodiscard]] bool IsSending(RequestId aId) const;
@@ -140,6 +143,8 @@
   std::size_t sending_ = 0;
   /// When all responses that were sent or scheduled have left.
   model::TimePoint sentAt_{};
+  /// When the parts that were scheduled have left at the least share.
+  model::TimePoint partsSentAt_{};
   /// Mean sizes of bodies, in bytes.
   std::unordered_map<std::string, double> meanBytes_;
 };
--- a/packages/decisions/src/TransferQueue.cpp
+++ b/packages/decisions/src/TransferQueue.cpp
@@ -28,6 +28,11 @@
   if (!(aOptions.sendShare_ > 0 && aOptions.sendShare_ <= 1)) {
     return TransferQueueError{ "share of all responses: expected more than 0 and at most 1" };
   }
+  if (!(aOptions.leastShare_ > 0 && aOptions.leastShare_ <= aOptions.sendShare_)) {
+    return TransferQueueError{
+      "least share: expected more than 0 and at most the share of all responses"
+    };
+  }
   if (aOptions.atOnce_ == 0) {
     return TransferQueueError{ "transfers at once: found 0, expected at least 1" };
   }
@@ -124,8 +129,10 @@
 
 TimePoint TransferQueue::SchedulePart(TimePoint aNow, std::size_t aBytes)
 {
-  const TimePoint at = std::max(aNow, sentAt_);
-  sentAt_ = at + TimeFor(static_cast<double>(aBytes), options_.sendShare_);
+  const auto bytes = static_cast<double>(aBytes);
+  const TimePoint at = std::max(aNow, std::min(sentAt_, partsSentAt_));
+  partsSentAt_ = at + TimeFor(bytes, options_.leastShare_);
+  sentAt_ = std::max(at, sentAt_) + TimeFor(bytes, options_.sendShare_);
   return at;
 }
 
--- a/packages/decisions/tests/TransferQueueTest.cpp
+++ b/packages/decisions/tests/TransferQueueTest.cpp
@@ -178,6 +178,27 @@
   CHECK_TRUE(end >= At(2 * kBodyTime - milliseconds(20)));
 }
 
+// Guards against a long body that stands still while short ones take the whole link.
+TEST(TransferQueue, KeepsLongBodiesGoingBesideShortOnesThatFillTheLink)
+{
+  constexpr std::uint64_t kShort = 10'000;
+  constexpr std::size_t kPart = 10'000;
+  constexpr int kLeastShareParts = 4;
+  TransferQueue queue = Make(1);
+  CHECK_TRUE(queue.Arrive(At(milliseconds(0)), RequestId(1), "download", kBody) == Turn::Now);
+  TimePoint end = At(milliseconds(0));
+  std::uint64_t id = 2;
+  for (std::uint64_t sent = 0; sent < kBody; sent += kPart) {
+    // More short responses than the link carries until the next part.
+    for (int i = 0; i < 2 * kLeastShareParts; ++i) {
+      CHECK_TRUE(queue.Arrive(end, RequestId(id), "lookup", kShort) == Turn::Now);
+      (void)queue.Finish(end, RequestId(id++));
+    }
+    end = queue.SchedulePart(end, kPart);
+  }
+  CHECK_TRUE(end <= At(kLeastShareParts * kBodyTime));
+}
+
 // Guards against a daemon that rejects or delays where it does not know its link.
 TEST(TransferQueue, DoesNothingWithoutARate)
 {
@@ -198,6 +219,7 @@
 {
   CHECK_FALSE(TransferQueue::Create({ .share_ = 0 }).Ok());
   CHECK_FALSE(TransferQueue::Create({ .sendShare_ = 0 }).Ok());
+  CHECK_FALSE(TransferQueue::Create({ .leastShare_ = 0 }).Ok());
   CHECK_FALSE(TransferQueue::Create({ .atOnce_ = 0 }).Ok());
 }
 
