Give the places of transfers that stand still to others

Cause: a long body keeps its place among the few that are sent until its exchange ends. Two receivers that take nothing, such as entries that froze or were cut off, hold back all downloads of an instance until the stall time-out, 10 s. Seen in reading; no play showed it.

Change: a transfer without a new part for 500 ms takes no place until it goes on. Test: TransferQueue/LetsOthersGoAheadOfTransfersThatStandStill.

The accessor LinkScheduler::Queue had no user and is gone.

--- a/packages/daemon/src/LinkScheduler.cpp
+++ b/packages/daemon/src/LinkScheduler.cpp
@@ -8,6 +8,13 @@
 
 using decisions::RequestId;
 
+void LinkScheduler::Tick()
+{
+  for (const RequestId next : queue_.Tick(std::chrono::steady_clock::now())) {
+    Wake(next);
+  }
+}
+
 void LinkScheduler::Finish(RequestId aId)
 {
   for (const RequestId next : queue_.Finish(std::chrono::steady_clock::now(), aId)) {
@@ -63,7 +70,7 @@
   }
   return { decisions::kTransferPartBytes, [this](std::size_t aBytes) {
             boost::this_fiber::sleep_until(
-              scheduler_.queue_.SchedulePart(std::chrono::steady_clock::now(), aBytes));
+              scheduler_.queue_.SchedulePart(std::chrono::steady_clock::now(), id_, aBytes));
           } };
 }
 
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -162,6 +162,7 @@
     nextPoolCheck_ = now + kPoolCheckInterval;
     pool_.DropExpired();
   }
+  link_->Tick();
   if (registry_.Tick(std::chrono::steady_clock::now())) {
     BackendChanged(runtime::LogEvent::EndpointWithdrawn);
   }
--- a/packages/daemon/src/impl/LinkScheduler.h
+++ b/packages/daemon/src/impl/LinkScheduler.h
@@ -25,7 +25,8 @@
   LinkScheduler(const LinkScheduler&) = delete;
   LinkScheduler& operator=(const LinkScheduler&) = delete;
 
-  [[nodiscard]] const decisions::TransferQueue& Queue() const noexcept { return queue_; }
+  /// Lets others go ahead of transfers that stand still.
+  void Tick();
 
 private:
   friend class LinkTicket;
--- a/packages/decisions/include/hemlockproxy/decisions/TransferQueue.h
+++ b/packages/decisions/include/hemlockproxy/decisions/TransferQueue.h
@@ -32,6 +32,9 @@
   /// Transfers at a time: more than one, so that a slow receiver does not leave the link idle, and
   /// few, since all else that leaves the instance waits behind what they have in flight.
   std::size_t atOnce_ = 2;
+  /// A transfer without a new part for this time stands still: its receiver takes nothing. About
+  /// ten times what a part takes at the least share of 12 Mbit/s.
+  std::chrono::milliseconds stalledAfter_{ 500 };
   /// A body up to this size does not wait, in bytes.
   std::size_t shortBytes_ = 16UL * 1024;
 };
@@ -67,7 +70,7 @@
 ///     transfers.Reserve(id, label);
 ///     ...
 ///     if (transfers.Arrive(now, id, label, bytes) == Turn::Now) { Send(id); }
-///     ... before each part: SleepUntil(transfers.SchedulePart(now, partBytes));
+///     ... before each part: SleepUntil(transfers.SchedulePart(now, id, partBytes));
 ///     for (RequestId next : transfers.Finish(now, id)) { Send(next); }
 class TransferQueue
 {
@@ -96,7 +99,12 @@
                             std::optional<std::uint64_t> aBytes);
   /// Returns when the next part of a long body may be sent, and counts it as sent then. Long bodies
   /// get what short ones leave, so that the link holds about one part of them, and a least share.
-  [[nodiscard]] model::TimePoint SchedulePart(model::TimePoint aNow, std::size_t aBytes);
+  [[nodiscard]] model::TimePoint SchedulePart(model::TimePoint aNow,
+                                              RequestId aId,
+                                              std::size_t aBytes);
+  /// Gives the places of transfers that stand still, as those to an instance that was cut off, to
+  /// others; returns those that start now. To be called a few times within stalledAfter_.
+  [[nodiscard]] std::vector<RequestId> Tick(model::TimePoint aNow);
   /// Returns whether a request's body is a long one that is being sent.
   [[nodiscard]] bool IsSending(RequestId aId) const;
   /// Ends a request, whatever became of it; returns the transfers that start now. Unknown ids are
@@ -118,7 +126,11 @@
   {
     double bytes_ = 0;
     bool sending_ = false;
+    /// It is being sent, but takes no place.
+    bool stalled_ = false;
     model::TimePoint since_{};
+    /// When its last part was sent, or will be.
+    model::TimePoint lastPart_{};
   };
 
   explicit TransferQueue(const TransferQueueOptions& aOptions)
@@ -136,6 +148,7 @@
   [[nodiscard]] model::Duration TimeFor(double aBytes, double aShare) const;
   void Learn(const std::string& aLabel, double aBytes);
   void Start(model::TimePoint aNow, Transfer& aTransfer);
+  [[nodiscard]] std::vector<RequestId> StartWaiting(model::TimePoint aNow);
 
   TransferQueueOptions options_;
   std::unordered_map<RequestId, Transfer> transfers_;
--- a/packages/decisions/src/TransferQueue.cpp
+++ b/packages/decisions/src/TransferQueue.cpp
@@ -60,6 +60,9 @@
 {
   double bytes = 0;
   for (const auto& [id, transfer] : transfers_) {
+    if (transfer.stalled_) {
+      continue;
+    }
     double left = transfer.bytes_;
     if (transfer.sending_) {
       const std::chrono::duration<double> since = aNow - transfer.since_;
@@ -124,18 +127,37 @@
 {
   aTransfer.sending_ = true;
   aTransfer.since_ = aNow;
+  aTransfer.lastPart_ = aNow;
   ++sending_;
 }
 
-TimePoint TransferQueue::SchedulePart(TimePoint aNow, std::size_t aBytes)
+TimePoint TransferQueue::SchedulePart(TimePoint aNow, RequestId aId, std::size_t aBytes)
 {
   const auto bytes = static_cast<double>(aBytes);
   const TimePoint at = std::max(aNow, std::min(sentAt_, partsSentAt_));
   partsSentAt_ = at + TimeFor(bytes, options_.leastShare_);
   sentAt_ = std::max(at, sentAt_) + TimeFor(bytes, options_.sendShare_);
+  if (const auto found = transfers_.find(aId); found != transfers_.end()) {
+    Transfer& transfer = found->second;
+    transfer.lastPart_ = at;
+    sending_ += transfer.stalled_ ? 1 : 0;
+    transfer.stalled_ = false;
+  }
   return at;
 }
 
+std::vector<RequestId> TransferQueue::Tick(TimePoint aNow)
+{
+  for (auto& [id, transfer] : transfers_) {
+    if (transfer.sending_ && !transfer.stalled_ &&
+        aNow - transfer.lastPart_ > options_.stalledAfter_) {
+      transfer.stalled_ = true;
+      --sending_;
+    }
+  }
+  return StartWaiting(aNow);
+}
+
 bool TransferQueue::IsSending(RequestId aId) const
 {
   const auto found = transfers_.find(aId);
@@ -149,11 +171,16 @@
     return {};
   }
   if (found->second.sending_) {
-    --sending_;
+    sending_ -= found->second.stalled_ ? 0 : 1;
   } else {
     std::erase(waiting_, aId);
   }
   transfers_.erase(found);
+  return StartWaiting(aNow);
+}
+
+std::vector<RequestId> TransferQueue::StartWaiting(TimePoint aNow)
+{
   std::vector<RequestId> started;
   while (sending_ < options_.atOnce_ && !waiting_.empty()) {
     started.push_back(waiting_.front());
--- a/packages/decisions/tests/TransferQueueTest.cpp
+++ b/packages/decisions/tests/TransferQueueTest.cpp
@@ -152,12 +152,12 @@
   }
   // Parts of both bodies by turns: together they get the rate of the link.
   for (int part = 0; part < 10; ++part) {
-    CHECK_TRUE(queue.SchedulePart(start, 10'000) == start + part * milliseconds(10));
+    CHECK_TRUE(queue.SchedulePart(start, RequestId(1), 10'000) == start + part * milliseconds(10));
   }
   // A pause is not made up for by a burst.
   const TimePoint later = start + milliseconds(500);
-  CHECK_TRUE(queue.SchedulePart(later, 10'000) == later);
-  CHECK_TRUE(queue.SchedulePart(later, 10'000) == later + milliseconds(10));
+  CHECK_TRUE(queue.SchedulePart(later, RequestId(1), 10'000) == later);
+  CHECK_TRUE(queue.SchedulePart(later, RequestId(1), 10'000) == later + milliseconds(10));
 }
 
 // Guards against long bodies that fill the link where many short responses use it, too.
@@ -170,7 +170,7 @@
   TimePoint end = At(milliseconds(0));
   std::uint64_t id = 2;
   for (std::uint64_t sent = 0; sent < kBody; sent += kPart) {
-    end = queue.SchedulePart(end, kPart);
+    end = queue.SchedulePart(end, RequestId(1), kPart);
     // A short response for each part: the long body gets less than half of the link.
     CHECK_TRUE(queue.Arrive(end, RequestId(id), "lookup", kShort) == Turn::Now);
     (void)queue.Finish(end, RequestId(id++));
@@ -194,11 +194,36 @@
       CHECK_TRUE(queue.Arrive(end, RequestId(id), "lookup", kShort) == Turn::Now);
       (void)queue.Finish(end, RequestId(id++));
     }
-    end = queue.SchedulePart(end, kPart);
+    end = queue.SchedulePart(end, RequestId(1), kPart);
   }
   CHECK_TRUE(end <= At(kLeastShareParts * kBodyTime));
 }
 
+// Guards against downloads that all wait behind a few whose receivers have frozen or are cut off.
+TEST(TransferQueue, LetsOthersGoAheadOfTransfersThatStandStill)
+{
+  TransferQueue queue = Make(1);
+  const TimePoint start = At(milliseconds(0));
+  CHECK_TRUE(queue.Arrive(start, RequestId(1), "download", kBody) == Turn::Now);
+  CHECK_TRUE(queue.Arrive(start, RequestId(2), "download", kBody) == Turn::Later);
+  // A transfer that goes on keeps its place.
+  const TimePoint goesOn = At(milliseconds(400));
+  (void)queue.SchedulePart(goesOn, RequestId(1), 10'000);
+  CHECK_TRUE(queue.Tick(goesOn + milliseconds(400)).empty());
+  const auto started = queue.Tick(goesOn + milliseconds(600));
+  LONGS_EQUAL(1, started.size());
+  CHECK_TRUE(started.front() == RequestId(2));
+  LONGS_EQUAL(1, queue.Sending());
+  // The first one goes on, and both end.
+  (void)queue.SchedulePart(goesOn + milliseconds(700), RequestId(1), 10'000);
+  LONGS_EQUAL(2, queue.Sending());
+  CHECK_TRUE(queue.Finish(goesOn + milliseconds(800), RequestId(1)).empty());
+  (void)queue.Tick(goesOn + milliseconds(2000));
+  (void)queue.Finish(goesOn + milliseconds(2000), RequestId(2));
+  LONGS_EQUAL(0, queue.Sending());
+  LONGS_EQUAL(0, queue.Waiting());
+}
+
 // Guards against a daemon that rejects or delays where it does not know its link.
 TEST(TransferQueue, DoesNothingWithoutARate)
 {
@@ -211,8 +236,8 @@
     CHECK_TRUE(queue.Arrive(now, RequestId(id), "download", kBody) == Turn::Now);
     CHECK_FALSE(queue.IsSending(RequestId(id)));
   }
-  CHECK_TRUE(queue.SchedulePart(now, kBody) == now);
-  CHECK_TRUE(queue.SchedulePart(now, kBody) == now);
+  CHECK_TRUE(queue.SchedulePart(now, RequestId(1), kBody) == now);
+  CHECK_TRUE(queue.SchedulePart(now, RequestId(1), kBody) == now);
 }
 
 TEST(TransferQueue, RejectsOptionsThatSendNothing)
