--- a/packages/decisions/include/hemlockproxy/decisions/TransferQueue.h
+++ b/packages/decisions/include/hemlockproxy/decisions/TransferQueue.h
@@ -64,13 +64,15 @@
 ///
 /// Answers the load of downloads that together exceed the link. Sent all at once, each of them gets
 /// a small part of it and all are late, while every other packet of the instance waits behind them;
-/// here a few go at a time, and what does not fit is rejected before it runs.
+/// here a few go at a time, in parts spaced by the link, and what does not fit is rejected before
+/// it runs.
 ///
 ///     if (!transfers.Fits(now, demand)) { return QueueFull; }
 ///     transfers.Reserve(id, label);
 ///     ...
 ///     if (transfers.Arrive(now, id, label, bytes) == Turn::Now) { Send(id); }
-///     ... before each part: SleepUntil(transfers.SchedulePart(now, id, partBytes));
+///     ... // before each part:
+///     SleepUntil(transfers.SchedulePart(now, id, partBytes));
 ///     for (RequestId next : transfers.Finish(now, id)) { Send(next); }
 class TransferQueue
 {
--- a/packages/runtime/src/impl/ServerConnection.h
+++ b/packages/runtime/src/impl/ServerConnection.h
@@ -27,6 +27,7 @@
   bool stopping_ = false;
 };
 
+/// One caller's connection: reads its requests one after another and is the exchange of each.
 class ServerConnection final
   : public HttpExchange
   , public std::enable_shared_from_this<ServerConnection>
