Metrics: tell which daemon reads the log and what it holds

Cause: config_version alone cannot tell a domain in which nobody reads the log (hypothesis 1) from a version that is held and not enforced (2), nor from a reader that lags (3). Conclusion: log_reader 0 on all members of a domain shows hypothesis 1, config_held_version above config_version shows hypothesis 2.

--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -450,6 +450,8 @@
   metrics_.Set(Gauge::MembersAlive, view->domainMembers_.size());
   metrics_.Set(Gauge::EndpointsKnown, view->endpoints_.size());
   metrics_.Set(Gauge::ConfigVersion, EnforcedVersion().Value());
+  metrics_.Set(Gauge::ConfigHeld, distribution_.HeldVersion().Value());
+  metrics_.Set(Gauge::LogReader, distribution_.IsLogReader() ? 1 : 0);
   metrics_.Set(Gauge::Ready, ready_ ? 1 : 0);
   status->ready_ = ready_ && routes_ != nullptr;
   status->leaving_ = leaving_;
--- a/packages/runtime/include/hemlockproxy/runtime/Metrics.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Metrics.h
@@ -48,6 +48,9 @@
   Ready,
   /// Unix time in seconds; the age of the version is the time since.
   ConfigEnforcedAt,
+  /// The highest version that this daemon holds, enforced or not.
+  ConfigHeld,
+  LogReader,
   PeersSilent,
   OwnerRunning,
   OwnerQueued,
--- a/packages/runtime/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -48,6 +48,8 @@
   { "requests_in_progress", "Requests in progress at this entry." },
   { "ready", "1 when the daemon serves requests." },
   { "config_enforced_at_seconds", "Unix time at which the version in effect was enforced." },
+  { "config_held_version", "Highest configuration version held, in effect or not." },
+  { "log_reader", "1 when this daemon reads the log for its failure domain." },
   { "peers_silent", "Other daemons that do not answer this entry." },
   { "owner_running", "Requests that the own backend server runs." },
   { "owner_queued", "Requests that wait for the own backend server." },
