--- a/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
@@ -124,6 +124,7 @@
   void Do(const decisions::FloorSettled& aAction);
   void Do(const decisions::SendNotice& aAction);
   void Do(const decisions::SendNoticeAck& aAction);
+  void Do(const decisions::SendLogReport& aAction);
   void Do(const decisions::SendFetch& aAction);
   void Do(const decisions::EnforceVersion& aAction);
   void Do(const decisions::VersionHeld& aAction);
--- a/packages/daemon/include/hemlockproxy/daemon/OperatorConfigSource.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OperatorConfigSource.h
@@ -3,6 +3,7 @@
 #include "hemlockproxy/daemon/Adapters.h"
 #include "hemlockproxy/daemon/ConfigSource.h"
 #include "hemlockproxy/daemon/ReadPace.h"
+#include "hemlockproxy/daemon/TailTime.h"
 #include "hemlockproxy/runtime/EventRing.h"
 
 #include <chrono>
@@ -56,6 +57,7 @@
   decltype(Adapters::decodeConfiguration_) decode_;
   runtime::EventRing& events_;
   ReadPace pace_;
+  TailTime read_;
   /// Whether next_ is known; if not, the newest record of each key is read.
   bool positioned_ = false;
   model::LogOffset next_;
--- a/packages/daemon/include/hemlockproxy/daemon/PublishedConfigSource.h
+++ b/packages/daemon/include/hemlockproxy/daemon/PublishedConfigSource.h
@@ -2,6 +2,7 @@
 
 #include "hemlockproxy/daemon/ConfigSource.h"
 #include "hemlockproxy/daemon/ReadPace.h"
+#include "hemlockproxy/daemon/TailTime.h"
 #include "hemlockproxy/decisions/ConfigReplay.h"
 #include "hemlockproxy/decisions/Distribution.h"
 #include "hemlockproxy/model/Clock.h"
@@ -17,7 +18,10 @@
 class PublishedConfigSource final : public ConfigSource
 {
 public:
-  PublishedConfigSource(LogTicket aTicket, runtime::EventRing& aEvents);
+  /// A read waits for a new record for aWait. The ring must outlive the source.
+  PublishedConfigSource(LogTicket aTicket,
+                        std::chrono::milliseconds aWait,
+                        runtime::EventRing& aEvents);
 
   void Start(const decisions::HandoverPtr& aHandover) override;
   void Stop() override { pace_.Stop(); }
@@ -43,6 +47,7 @@
 
 private:
   void ApplyBatch(const runtime::LogBatch& aBatch,
+                  model::TimePoint aNow,
                   model::WallTime aWallNow,
                   std::vector<decisions::DistributionEvent>& aEvents);
   void ApplyRecord(const runtime::LogRecord& aRecord,
@@ -51,9 +56,11 @@
   void ReportVersion(std::vector<decisions::DistributionEvent>& aEvents);
 
   LogTicket ticket_;
+  std::chrono::milliseconds wait_;
   runtime::EventRing& events_;
   decisions::ConfigReplay replay_;
   ReadPace pace_;
+  TailTime read_;
   model::ConfigVersion reported_;
 };
 
--- a/packages/daemon/src/ControlActions.cpp
+++ b/packages/daemon/src/ControlActions.cpp
@@ -126,6 +126,13 @@
                            wire::EncodeNoticeAck(aAction.ack_, EnforcedVersion(), events_.Stamp()));
 }
 
+void ControlThread::Do(const decisions::SendLogReport& aAction)
+{
+  transport_->SendDatagram(
+    AddressOf(aAction.to_),
+    wire::EncodeLogReport(aAction.report_, EnforcedVersion(), events_.Stamp()));
+}
+
 void ControlThread::Do(const decisions::SendFetch& aAction)
 {
   runtime::SpawnFiber([this, to = aAction.to_, body = wire::EncodeFetchRequest(aAction.request_)] {
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -26,8 +26,8 @@
 constexpr std::chrono::milliseconds kFastJoinJitter{ 100 };
 constexpr std::chrono::milliseconds kFastDigestInterval{ 1000 };
 constexpr std::chrono::milliseconds kFastReconnectInterval{ 1000 };
-/// The operator's configuration is read again after this share of the time in which it is to be in
-/// force at the latest.
+/// The log is read again after this share of the time in which a version is to be in force: a
+/// connection may go silent without a reset.
 constexpr double kReadShare = 0.6;
 
 constexpr LogTicket kConfigTicket = 1;
@@ -78,12 +78,12 @@
                                          const Adapters& aAdapters,
                                          runtime::EventRing& aEvents)
 {
+  const auto wait =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aSettings.applyWithin_ * kReadShare);
   if (!aAdapters.decodeConfiguration_) {
-    return std::make_unique<PublishedConfigSource>(kConfigTicket, aEvents);
+    return std::make_unique<PublishedConfigSource>(kConfigTicket, wait, aEvents);
   }
-  const OperatorConfigOptions options{ kConfigTicket,
-                                       std::chrono::duration_cast<std::chrono::milliseconds>(
-                                         aSettings.applyWithin_ * kReadShare) };
+  const OperatorConfigOptions options{ kConfigTicket, wait };
   return std::make_unique<OperatorConfigSource>(options, aAdapters.decodeConfiguration_, aEvents);
 }
 
@@ -332,6 +332,8 @@
     Distribution(decisions::NoticeReceived{ *notice });
   } else if (auto* ack = std::get_if<decisions::NoticeAck>(&decoded->message_)) {
     Distribution(decisions::NoticeAckReceived{ *ack });
+  } else if (auto* report = std::get_if<decisions::LogReport>(&decoded->message_)) {
+    Distribution(decisions::LogReportReceived{ *report });
   }
   Publish();
 }
--- a/packages/daemon/src/OperatorConfigSource.cpp
+++ b/packages/daemon/src/OperatorConfigSource.cpp
@@ -33,11 +33,14 @@
     return std::nullopt;
   }
   if (!positioned_) {
+    read_.Begin(aNow, {});
     return LogCommand(LogNewestCommand{ options_.ticket_, kStream });
   }
   // The first read after a failure returns at once, so that a recovered log is noticed without
   // waiting for a record.
-  const auto wait = pace_.LogAvailable() ? options_.wait_ : std::chrono::milliseconds(0);
+  const auto wait =
+    pace_.LogAvailable() ? read_.WaitUntilAge(aNow, options_.wait_) : std::chrono::milliseconds(0);
+  read_.Begin(aNow, wait);
   return LogCommand(LogReadCommand{ options_.ticket_, kStream, next_, wait, kBatchRecords });
 }
 
@@ -52,10 +55,10 @@
     if (aResult.Error().kind_ == runtime::LogErrorKind::Trimmed) {
       // The newest record of each key outlives the others.
       positioned_ = false;
-    } else {
-      pace_.Failed(aResult.Error(), aNow, aRandom);
+      return {};
     }
-    return {};
+    pace_.Failed(aResult.Error(), aNow, aRandom);
+    return { decisions::LogReadFailed{} };
   }
   pace_.Succeeded(aResult->next_);
   positioned_ = true;
@@ -74,7 +77,7 @@
     out.emplace_back(decisions::LogVersionAccepted{ newest_, nullptr });
   }
   if (next_ >= aResult->next_ && newest_) {
-    out.emplace_back(decisions::LogTailReached{});
+    out.emplace_back(decisions::LogTailReached{ read_.End(aNow, aResult->records_.empty()) });
     pace_.TailReached();
   }
   return out;
--- a/packages/daemon/src/PublishedConfigSource.cpp
+++ b/packages/daemon/src/PublishedConfigSource.cpp
@@ -11,7 +11,6 @@
 using decisions::DistributionEvent;
 
 constexpr const char* kStream = "config";
-constexpr std::chrono::milliseconds kLongPoll{ 20000 };
 constexpr std::size_t kBatchRecords = 256;
 constexpr ReadBackoff kBackoff{ std::chrono::milliseconds(200), std::chrono::milliseconds(5000) };
 
@@ -26,8 +25,11 @@
 
 } // namespace
 
-PublishedConfigSource::PublishedConfigSource(LogTicket aTicket, runtime::EventRing& aEvents)
+PublishedConfigSource::PublishedConfigSource(LogTicket aTicket,
+                                             std::chrono::milliseconds aWait,
+                                             runtime::EventRing& aEvents)
   : ticket_(aTicket)
+  , wait_(aWait)
   , events_(aEvents)
   , pace_(kBackoff, aEvents)
 {
@@ -62,12 +64,10 @@
   }
   // The first read after a failure returns at once, so that a recovered log is noticed without
   // waiting for a record.
-  const bool wait = pace_.IsContinuous() && pace_.LogAvailable();
-  return LogReadCommand{ ticket_,
-                         kStream,
-                         replay_.NextOffset(),
-                         wait ? kLongPoll : std::chrono::milliseconds(0),
-                         kBatchRecords };
+  const bool waits = pace_.IsContinuous() && pace_.LogAvailable();
+  const auto wait = waits ? read_.WaitUntilAge(aNow, wait_) : std::chrono::milliseconds(0);
+  read_.Begin(aNow, wait);
+  return LogReadCommand{ ticket_, kStream, replay_.NextOffset(), wait, kBatchRecords };
 }
 
 std::vector<DistributionEvent> PublishedConfigSource::Finish(
@@ -79,7 +79,7 @@
   pace_.End();
   std::vector<DistributionEvent> events;
   if (aResult) {
-    ApplyBatch(*aResult, aWallNow, events);
+    ApplyBatch(*aResult, aNow, aWallNow, events);
     pace_.Succeeded(aResult->next_);
     return events;
   }
@@ -91,10 +91,12 @@
     return events;
   }
   pace_.Failed(aResult.Error(), aNow, aRandom);
+  events.emplace_back(decisions::LogReadFailed{});
   return events;
 }
 
 void PublishedConfigSource::ApplyBatch(const runtime::LogBatch& aBatch,
+                                       model::TimePoint aNow,
                                        model::WallTime aWallNow,
                                        std::vector<DistributionEvent>& aEvents)
 {
@@ -104,7 +106,7 @@
   replay_.ObserveTail(aBatch.next_);
   ReportVersion(aEvents);
   if (replay_.NextOffset() >= aBatch.next_ && !replay_.IsHistoryMissing()) {
-    aEvents.emplace_back(decisions::LogTailReached{});
+    aEvents.emplace_back(decisions::LogTailReached{ read_.End(aNow, aBatch.records_.empty()) });
     pace_.TailReached();
   }
 }
--- a/packages/daemon/tests/OperatorConfigSourceTest.cpp
+++ b/packages/daemon/tests/OperatorConfigSourceTest.cpp
@@ -62,6 +62,16 @@
     CHECK_TRUE(found != nullptr);
     return *found;
   }
+  /// Returns the time in ms for which the log's end was proved; -1 when it was not.
+  std::int64_t EndKnownAt(const std::vector<decisions::DistributionEvent>& aEvents)
+  {
+    for (const auto& event : aEvents) {
+      if (const auto* reached = std::get_if<decisions::LogTailReached>(&event)) {
+        return std::chrono::duration_cast<milliseconds>(reached->asOf_ - At(0)).count();
+      }
+    }
+    return -1;
+  }
   std::uint64_t Accepted(const std::vector<decisions::DistributionEvent>& aEvents)
   {
     for (const auto& event : aEvents) {
@@ -82,7 +92,8 @@
   now_ = 1000;
   const auto read = Next<LogReadCommand>();
   LONGS_EQUAL(5, read.from_.Value());
-  CHECK_TRUE(read.wait_ == milliseconds(1500));
+  // The end of the log is known again 1500 ms after the read that began at 0.
+  CHECK_TRUE(read.wait_ == milliseconds(500));
   LONGS_EQUAL(9, Accepted(Finish(Batch(5, { "8", "9" }))));
 }
 
@@ -133,3 +144,30 @@
   now_ += 500;
   CHECK_TRUE(Next<LogReadCommand>().wait_ == milliseconds(0));
 }
+
+// Guards against an old configuration that passes for the newest one because its read took long.
+TEST(OperatorConfigSource, TellsForWhichTimeTheEndOfTheLogIsKnown)
+{
+  source_.Start(nullptr);
+  (void)Next<LogNewestCommand>();
+  now_ = 900;
+  LONGS_EQUAL(0, EndKnownAt(Finish(Batch(0, { "1" }))));
+  now_ = 1100;
+  CHECK_TRUE(Next<LogReadCommand>().wait_ == milliseconds(400));
+  now_ = 1900;
+  LONGS_EQUAL(1500, EndKnownAt(Finish(Batch(1, {}))));
+  CHECK_TRUE(Next<LogReadCommand>().wait_ == milliseconds(1100));
+  now_ = 2500;
+  LONGS_EQUAL(1900, EndKnownAt(Finish(Batch(1, { "2" }))));
+}
+
+// Guards against a reader that is still relied on although its reads fail.
+TEST(OperatorConfigSource, TellsThatAReadFailed)
+{
+  source_.Start(nullptr);
+  (void)Next<LogNewestCommand>();
+  const auto events =
+    Finish(runtime::LogError{ runtime::LogErrorKind::Unavailable, "outage", {}, {} });
+  LONGS_EQUAL(1, events.size());
+  CHECK_TRUE(std::holds_alternative<decisions::LogReadFailed>(events.front()));
+}
--- a/packages/decisions/include/hemlockproxy/decisions/Distribution.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Distribution.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -49,6 +50,16 @@
   /// that do not answer may be cut off, and the operator's version must still come into force.
   std::chrono::milliseconds acknowledgementLimit_{ 8000 };
   std::chrono::milliseconds logRetry_{ 5000 };
+  /// Interval at which a log reader reports to its domain.
+  std::chrono::milliseconds reportInterval_{ 1300 };
+  /// A log reader that has not reported for this time is replaced, by the member of the next rank
+  /// first and by each further one a step later.
+  std::chrono::milliseconds takeover_{ 3000 };
+  std::chrono::milliseconds takeoverStep_{ 400 };
+  /// A log that was last read to its end longer ago counts as lost.
+  std::chrono::milliseconds logLost_{ 6000 };
+  /// Members in order of rank that get reports and may replace a log reader.
+  std::size_t reportedTo_ = 16;
 
   /// The time for which the log retains records.
   std::chrono::minutes retention_{ 24 * 60 };
@@ -125,7 +136,17 @@
 };
 /// Replay reached the end of the log and its history is complete.
 struct LogTailReached
+{
+  /// The log held nothing newer at this time.
+  model::TimePoint asOf_;
+};
+/// The log could not be read.
+struct LogReadFailed
 {};
+struct LogReportReceived
+{
+  LogReport report_;
+};
 /// Records were read from the log, checkpoints not counted.
 struct LogRecordsRead
 {
@@ -156,6 +177,8 @@
                                        FetchFailed,
                                        LogVersionAccepted,
                                        LogTailReached,
+                                       LogReadFailed,
+                                       LogReportReceived,
                                        LogRecordsRead,
                                        CheckpointRead,
                                        VersionFloorRaised,
@@ -173,6 +196,11 @@
   model::DaemonId to_;
   NoticeAck ack_;
 };
+struct SendLogReport
+{
+  model::DaemonId to_;
+  LogReport report_;
+};
 /// Send a request over HTTP; the outcome comes back as FetchResponded or FetchFailed.
 struct SendFetch
 {
@@ -215,6 +243,7 @@
 
 using DistributionAction = std::variant<SendNotice,
                                         SendNoticeAck,
+                                        SendLogReport,
                                         SendFetch,
                                         ReplyFetch,
                                         EnforceVersion,
@@ -253,6 +282,8 @@
   /// Returns the highest complete version, which a reader may hold before it enforces it.
   [[nodiscard]] model::ConfigVersion HeldVersion() const noexcept;
   [[nodiscard]] bool Ready() const noexcept;
+  /// Returns when the version in force was last known to be the newest one of the log.
+  [[nodiscard]] std::optional<model::TimePoint> CurrentAsOf() const noexcept;
   /// Returns whether this daemon reads the log for its domain.
   [[nodiscard]] bool IsLogReader() const noexcept;
 
--- a/packages/decisions/include/hemlockproxy/decisions/DistributionMessages.h
+++ b/packages/decisions/include/hemlockproxy/decisions/DistributionMessages.h
@@ -3,7 +3,9 @@
 #include "hemlockproxy/model/Config.h"
 #include "hemlockproxy/model/ConfigRecord.h"
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -29,6 +31,16 @@
   model::ConfigVersion version_;
 };
 
+/// Tells the own failure domain how a log reader fares; sent regularly and when it loses the log.
+struct LogReport
+{
+  model::DaemonId from_;
+  /// The highest version that the sender holds.
+  model::ConfigVersion version_;
+  /// How long ago that was the newest version of the log; nothing while the log cannot be read.
+  std::optional<std::chrono::milliseconds> age_;
+};
+
 /// Asks a peer for the highest version that it holds.
 struct FetchRequest
 {
--- a/packages/decisions/src/Distribution.cpp
+++ b/packages/decisions/src/Distribution.cpp
@@ -29,6 +29,18 @@
 constexpr int kAcknowledgementPart = 2;
 /// One peer may take this part of it, so that a version is fetched from a second one in time.
 constexpr int kFetchPart = 5;
+/// Two reports may be late or lost before a log reader is replaced, and what remains of the time
+/// is enough to read the log, to get the version acknowledged and to spread it.
+constexpr int kReportPart = 6;
+constexpr double kTakeoverShare = 0.375;
+constexpr int kTakeoverStepPart = 20;
+/// Longer than the longest wait of a read, and short enough for another member to read in time.
+constexpr double kLogLostShare = 0.75;
+
+std::chrono::milliseconds Share(std::chrono::milliseconds aTime, double aShare)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime * aShare);
+}
 
 } // namespace
 
@@ -47,6 +59,10 @@
   acknowledgementLimit_ = aTime / kAcknowledgementPart;
   fetchTimeout_ = std::max(fetchRetry_, std::min(fetchTimeout_, aTime / kFetchPart));
   fetchRetryMax_ = std::max(fetchRetry_, std::min(fetchRetryMax_, aTime / kFetchPart));
+  reportInterval_ = aTime / kReportPart;
+  takeover_ = Share(aTime, kTakeoverShare);
+  takeoverStep_ = aTime / kTakeoverStepPart;
+  logLost_ = Share(aTime, kLogLostShare);
 }
 
 model::Result<Distribution, DistributionError> Distribution::Create(DistributionOptions aOptions)
@@ -54,13 +70,18 @@
   if (aOptions.id_.Empty()) {
     return DistributionError{ "the id must be set" };
   }
-  if (aOptions.logReaders_ == 0 || aOptions.fanout_ == 0 || aOptions.checkpointRecords_ == 0) {
-    return DistributionError{ "log readers, fanout and checkpoint records must be positive" };
+  if (aOptions.logReaders_ == 0 || aOptions.fanout_ == 0 || aOptions.checkpointRecords_ == 0 ||
+      aOptions.reportedTo_ < aOptions.logReaders_) {
+    return DistributionError{ "log readers, fanout and checkpoint records must be positive, and "
+                              "reports go to at least the log readers" };
   }
   if (aOptions.noticeRetry_.count() <= 0 || aOptions.fetchRetry_.count() <= 0 ||
       aOptions.fetchRetryMax_ < aOptions.fetchRetry_ || aOptions.fetchTimeout_.count() <= 0 ||
-      aOptions.logRetry_.count() <= 0 || aOptions.retention_.count() <= 0) {
-    return DistributionError{ "intervals must be positive" };
+      aOptions.logRetry_.count() <= 0 || aOptions.retention_.count() <= 0 ||
+      aOptions.reportInterval_.count() <= 0 || aOptions.takeover_ < aOptions.reportInterval_) {
+    return DistributionError{
+      "intervals must be positive, and takeover at least a report interval"
+    };
   }
   return Distribution(std::make_unique<impl::DistributionEngine>(std::move(aOptions)));
 }
@@ -96,6 +117,11 @@
   return engine_->Ready();
 }
 
+std::optional<model::TimePoint> Distribution::CurrentAsOf() const noexcept
+{
+  return engine_->CurrentAsOf();
+}
+
 bool Distribution::IsLogReader() const noexcept
 {
   return engine_->IsLogReader();
--- a/packages/decisions/src/impl/DistributionEngine.cpp
+++ b/packages/decisions/src/impl/DistributionEngine.cpp
@@ -7,6 +7,7 @@
 
 DistributionEngine::DistributionEngine(DistributionOptions aOptions)
   : options_(std::move(aOptions))
+  , roster_(options_)
 {
 }
 
@@ -37,6 +38,7 @@
 {
   UpdateRole();
   TickLog();
+  TickReport();
   TickCheckpoint();
   if (NeedsAcknowledgement() && now_ >= nextNotice_) {
     SendNotices(true, nullptr);
@@ -47,6 +49,7 @@
 void DistributionEngine::On(const PeersChanged& aEvent)
 {
   peers_ = aEvent.view_;
+  roster_.SetMembers(now_, peers_.own_);
   UpdateRole();
   // The last peer may have gone, after which nobody can acknowledge.
   TryEnforce();
@@ -146,6 +149,7 @@
   if (HeldVersion() > (enforced_ ? enforced_->version_ : model::ConfigVersion())) {
     enforced_ = held_;
     out_.emplace_back(EnforceVersion{ held_, handover_ });
+    UpdateCurrentAsOf();
   }
   if (!ready_) {
     ready_ = true;
--- a/packages/decisions/src/impl/DistributionEngine.h
+++ b/packages/decisions/src/impl/DistributionEngine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockproxy/decisions/Distribution.h"
+#include "impl/ReaderRoster.h"
 
 #include <map>
 #include <optional>
@@ -23,9 +24,19 @@
   [[nodiscard]] const model::ConfigurationPtr& Enforced() const noexcept { return enforced_; }
   [[nodiscard]] model::ConfigVersion HeldVersion() const noexcept;
   [[nodiscard]] bool Ready() const noexcept { return ready_; }
-  [[nodiscard]] bool IsLogReader() const noexcept { return reader_; }
+  [[nodiscard]] bool IsLogReader() const noexcept { return reading_; }
+  [[nodiscard]] std::optional<model::TimePoint> CurrentAsOf() const noexcept
+  {
+    return currentAsOf_;
+  }
 
 private:
+  /// A version, and when it was the newest one of the log.
+  struct Newest
+  {
+    model::ConfigVersion version_;
+    model::TimePoint asOf_;
+  };
   struct Fetch
   {
     model::DaemonId from_;
@@ -42,6 +53,8 @@
   void On(const FetchFailed& aEvent);
   void On(const LogVersionAccepted& aEvent);
   void On(const LogTailReached& aEvent);
+  void On(const LogReadFailed& aEvent);
+  void On(const LogReportReceived& aEvent);
   void On(const LogRecordsRead& aEvent);
   void On(const CheckpointRead& aEvent);
   void On(const VersionFloorRaised& aEvent);
@@ -69,6 +82,11 @@
 
   // Log.
   void UpdateRole();
+  void TickReport();
+  void SendReports(std::optional<model::Duration> aAge);
+  /// Takes in that the log held nothing newer than a version at a time.
+  void NoteNewest(const Newest& aNewest);
+  void UpdateCurrentAsOf();
   void TickLog();
   void TickCheckpoint();
   [[nodiscard]] bool CheckpointDue() const;
@@ -105,9 +123,14 @@
   model::TimePoint nextFetch_;
   std::chrono::milliseconds fetchBackoff_{ 0 };
 
-  bool reader_ = false;
+  ReaderRoster roster_;
   bool reading_ = false;
-  std::size_t readerRank_ = 0;
+  /// When the log was last read to its end; nothing while it cannot be read.
+  std::optional<model::TimePoint> tailAsOf_;
+  model::TimePoint nextReport_;
+  /// The newest version of the log as far as known.
+  Newest newest_;
+  std::optional<model::TimePoint> currentAsOf_;
   model::TimePoint logAllowed_;
   model::TimePoint nextTailRead_;
   std::size_t recordsSince_ = 0;
--- a/packages/decisions/src/impl/DistributionFetch.cpp
+++ b/packages/decisions/src/impl/DistributionFetch.cpp
@@ -46,7 +46,7 @@
     }
   }
   // Only log readers need the replay state, and it is far larger than a change.
-  request.handoverWanted_ = reader_;
+  request.handoverWanted_ = reading_ || roster_.Rank() < options_.logReaders_;
   fetch_ = Fetch{ *source, now_ + options_.fetchTimeout_ };
   out_.emplace_back(SendFetch{ *source, std::move(request) });
 }
--- a/packages/decisions/src/impl/DistributionLog.cpp
+++ b/packages/decisions/src/impl/DistributionLog.cpp
@@ -1,4 +1,3 @@
-#include "hemlockproxy/decisions/RendezvousHash.h"
 #include "impl/DistributionEngine.h"
 
 #include <algorithm>
@@ -8,17 +7,15 @@
 
 void DistributionEngine::UpdateRole()
 {
-  const auto readers = ChooseByRendezvous("log-reader", peers_.own_, options_.logReaders_);
-  const auto self = std::find(readers.begin(), readers.end(), options_.id_);
-  reader_ = self != readers.end();
-  readerRank_ = static_cast<std::size_t>(self - readers.begin());
-  if (!reader_ && reading_) {
+  const bool reader = roster_.ShouldRead(now_, reading_);
+  if (!reader && reading_) {
     reading_ = false;
+    tailAsOf_.reset();
     checkpointAt_.reset();
     out_.emplace_back(StopReading{});
   }
   // A starting daemon that does not know its peers yet would take itself for a reader.
-  if (reader_ && !reading_ && (ready_ || now_ >= logAllowed_)) {
+  if (reader && !reading_ && (ready_ || now_ >= logAllowed_)) {
     reading_ = true;
     recordsSince_ = 0;
     lastCheckpoint_ = now_;
@@ -26,6 +23,45 @@
   }
 }
 
+void DistributionEngine::TickReport()
+{
+  if (!tailAsOf_) {
+    return;
+  }
+  if (now_ - *tailAsOf_ > options_.logLost_) {
+    On(LogReadFailed{});
+  } else if (now_ >= nextReport_) {
+    SendReports(now_ - *tailAsOf_);
+  }
+}
+
+void DistributionEngine::SendReports(std::optional<model::Duration> aAge)
+{
+  nextReport_ = now_ + options_.reportInterval_;
+  LogReport report{ options_.id_, HeldVersion(), std::nullopt };
+  if (aAge) {
+    report.age_ = std::chrono::ceil<std::chrono::milliseconds>(*aAge);
+  }
+  for (const model::DaemonId& id : roster_.Receivers()) {
+    out_.emplace_back(SendLogReport{ id, report });
+  }
+}
+
+void DistributionEngine::NoteNewest(const Newest& aNewest)
+{
+  if (aNewest.asOf_ >= newest_.asOf_ && aNewest.version_ >= newest_.version_) {
+    newest_ = aNewest;
+    UpdateCurrentAsOf();
+  }
+}
+
+void DistributionEngine::UpdateCurrentAsOf()
+{
+  if (enforced_ && enforced_->version_ >= newest_.version_) {
+    currentAsOf_ = newest_.asOf_;
+  }
+}
+
 void DistributionEngine::TickLog()
 {
   if (ready_ || reading_ || now_ < nextTailRead_) {
@@ -50,9 +86,36 @@
   TryEnforce();
 }
 
-void DistributionEngine::On(const LogTailReached&)
+void DistributionEngine::On(const LogTailReached& aEvent)
 {
   tailReached_ = true;
+  NoteNewest({ HeldVersion(), aEvent.asOf_ });
+  TryEnforce();
+  if (reading_) {
+    const bool regained = !tailAsOf_;
+    tailAsOf_ = aEvent.asOf_;
+    nextReport_ = regained ? now_ : nextReport_;
+    TickReport();
+  }
+}
+
+void DistributionEngine::On(const LogReadFailed&)
+{
+  if (std::exchange(tailAsOf_, std::nullopt)) {
+    SendReports(std::nullopt);
+  }
+}
+
+void DistributionEngine::On(const LogReportReceived& aEvent)
+{
+  const LogReport& report = aEvent.report_;
+  roster_.Reported(now_, report.from_, report.age_.has_value());
+  NoteHolder(report.from_, report.version_);
+  Want(report.from_, report.version_, options_.repairDelay_);
+  if (report.age_) {
+    NoteNewest({ report.version_, now_ - *report.age_ });
+  }
+  UpdateRole();
   TryEnforce();
 }
 
@@ -83,7 +146,7 @@
     return;
   }
   if (!checkpointAt_) {
-    checkpointAt_ = now_ + options_.checkpointJitter_ * static_cast<int>(readerRank_) +
+    checkpointAt_ = now_ + options_.checkpointJitter_ * static_cast<int>(roster_.Rank()) +
                     Jitter(options_.checkpointJitter_);
   }
   if (now_ >= *checkpointAt_) {
--- a/packages/decisions/tests/LogTakeoverTest.cpp
+++ b/packages/decisions/tests/LogTakeoverTest.cpp
@@ -1,5 +1,7 @@
 #include "MeshDriver.h"
 
+#include "hemlockproxy/decisions/RendezvousHash.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace hemlockproxy;
@@ -76,3 +78,101 @@
     LONGS_EQUAL(2, mesh_->CountEnforcing(version));
   }
 }
+
+// Guards against a domain whose log readers have lost the log while other members reach it.
+TEST(LogTakeoverReaders, ReadersThatLoseTheLogAreReplacedBeforeAVersionIsDue)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Run(5, seed);
+    for (const std::size_t reader : Readers()) {
+      mesh_->At(reader).logCut_ = true;
+    }
+    const ConfigVersion version = mesh_->Publish();
+    mesh_->RunFor(kApplyWithin);
+    LONGS_EQUAL(5, mesh_->CountEnforcing(version));
+  }
+}
+
+// Guards against members that keep reading once the log readers of better rank have returned.
+TEST(LogTakeoverReaders, ReplacementsStopWhenTheReadersAreBack)
+{
+  Run(5, 1);
+  const auto readers = Readers();
+  for (const std::size_t reader : readers) {
+    mesh_->Pause(reader);
+  }
+  mesh_->RunFor(kApplyWithin);
+  for (const std::size_t reader : readers) {
+    mesh_->Resume(reader);
+  }
+  mesh_->RunFor(kApplyWithin);
+  CHECK_TRUE(Readers() == readers);
+}
+
+/// One daemon that reads the log and has the worst rank of all members.
+TEST_GROUP(LogTakeoverHandover)
+{
+  static model::DaemonId Id(std::size_t aHost)
+  {
+    return model::DaemonId("10.0.0." + std::to_string(aHost) + ":7000");
+  }
+  void setup() override
+  {
+    std::vector<model::DaemonId> members = { Id(1), Id(2), Id(3) };
+    ranking_ = ChooseByRendezvous("log-reader", members, members.size());
+    DistributionOptions options;
+    options.id_ = ranking_.back();
+    options.ApplyWithin(kApplyWithin);
+    options.startLogDelay_ = 0ms;
+    distribution_.emplace(*Distribution::Create(options));
+    (void)Count<StartReading>(PeersChanged{ { { ranking_.back() }, {} } });
+    (void)Count<StartReading>(DistributionTick{});
+    CHECK_TRUE(distribution_->IsLogReader());
+  }
+  template <typename Action>
+  std::size_t Count(const DistributionEvent& aEvent, model::Duration aPassed = 0ms)
+  {
+    now_ += aPassed;
+    const auto actions = distribution_->Handle(aEvent, now_, random_);
+    return static_cast<std::size_t>(
+      std::count_if(actions.begin(), actions.end(), [](const auto& aAction) {
+        return std::holds_alternative<Action>(aAction);
+      }));
+  }
+  LogReportReceived ReportOf(std::size_t aRank, std::optional<std::chrono::milliseconds> aAge)
+  {
+    return LogReportReceived{ LogReport{ ranking_[aRank], ConfigVersion(1), aAge } };
+  }
+  std::vector<model::DaemonId> ranking_;
+  std::optional<Distribution> distribution_;
+  model::RandomSource random_{ 1 };
+  model::TimePoint now_{ 1h };
+};
+
+// Guards against a gap between the end of one log reader and the start of its successor.
+TEST(LogTakeoverHandover, AReaderGoesOnUntilItsSuccessorsHaveReported)
+{
+  LONGS_EQUAL(0, Count<StopReading>(PeersChanged{ { ranking_, {} } }));
+  LONGS_EQUAL(0, Count<StopReading>(DistributionTick{}, 500ms));
+  LONGS_EQUAL(0, Count<StopReading>(ReportOf(0, 0ms)));
+  LONGS_EQUAL(0, Count<StopReading>(ReportOf(1, std::nullopt)));
+  LONGS_EQUAL(1, Count<StopReading>(ReportOf(1, 0ms)));
+}
+
+// Guards against a reader with a silent connection that all others still rely on.
+TEST(LogTakeoverHandover, AReaderWhoseReadHasNoEndReportsThatItCannotRead)
+{
+  (void)Count<StopReading>(PeersChanged{ { ranking_, {} } });
+  LONGS_EQUAL(2, Count<SendLogReport>(LogTailReached{ now_ }));
+  std::optional<std::chrono::milliseconds> age = 0ms;
+  const auto started = now_;
+  while (age) {
+    now_ += 100ms;
+    for (const auto& action : distribution_->Handle(DistributionTick{}, now_, random_)) {
+      if (const auto* sent = std::get_if<SendLogReport>(&action)) {
+        age = sent->report_.age_;
+      }
+    }
+    CHECK_TRUE(now_ - started < kApplyWithin);
+  }
+}
--- a/packages/decisions/tests/MeshDriver.h
+++ b/packages/decisions/tests/MeshDriver.h
@@ -14,8 +14,14 @@
 using namespace std::chrono_literals;
 
 /// A message as handed to the network, for counting bytes.
-using Payload =
-  std::variant<Datagram, Notice, NoticeAck, SyncRequest, SyncResponse, FetchRequest, FetchResponse>;
+using Payload = std::variant<Datagram,
+                             Notice,
+                             NoticeAck,
+                             LogReport,
+                             SyncRequest,
+                             SyncResponse,
+                             FetchRequest,
+                             FetchResponse>;
 
 struct MeshOptions
 {
@@ -42,6 +48,8 @@
     std::uint64_t process_ = 0;
     bool paused_ = false;
     bool reading_ = false;
+    /// The node cannot reach the log.
+    bool logCut_ = false;
     std::size_t logPosition_ = 0;
     /// Since when the process runs without a pause.
     model::TimePoint since_;
@@ -258,13 +266,15 @@
   void ReadLog(std::size_t aNode)
   {
     Node& node = nodes_[aNode];
-    while (logAvailable_ && node.logPosition_ < log_.size()) {
+    while (logAvailable_ && !node.logCut_ && node.logPosition_ < log_.size()) {
       Do(aNode,
          LogVersionAccepted{ log_[node.logPosition_++],
                              std::make_shared<model::CheckpointRecord>() });
     }
-    if (logAvailable_) {
-      Do(aNode, LogTailReached{});
+    if (logAvailable_ && !node.logCut_) {
+      Do(aNode, LogTailReached{ now_ });
+    } else {
+      Do(aNode, LogReadFailed{});
     }
   }
   [[nodiscard]] model::Duration Delay(std::size_t aNode, std::size_t aOther)
@@ -345,6 +355,11 @@
               : Do(aNode, SyncFailed{ aAction.to_ });
     });
   }
+  void Execute(std::size_t aNode, const SendLogReport& aAction)
+  {
+    SendUnreliably(
+      aNode, byId_.at(aAction.to_), aAction.report_, LogReportReceived{ aAction.report_ });
+  }
   void Execute(std::size_t aNode, const SendFetch& aAction)
   {
     const std::size_t to = byId_.at(aAction.to_);
--- a/packages/wire/gen/membership_types.cpp
+++ b/packages/wire/gen/membership_types.cpp
@@ -2482,6 +2482,131 @@
 }
 
 
+LogReportT::~LogReportT() noexcept {
+}
+
+
+void LogReportT::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void LogReportT::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+__isset.age_ms = true;
+}
+std::ostream& operator<<(std::ostream& out, const LogReportT& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LogReportT::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LogReportT::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LogReportT");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.age_ms) {
+    xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
+    xfer += oprot->writeI32(this->age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LogReportT &a, LogReportT &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+LogReportT::LogReportT(const LogReportT& other100) noexcept {
+  version = other100.version;
+  age_ms = other100.age_ms;
+  __isset = other100.__isset;
+}
+LogReportT::LogReportT(LogReportT&& other101) noexcept {
+  version = other101.version;
+  age_ms = other101.age_ms;
+  __isset = other101.__isset;
+}
+LogReportT& LogReportT::operator=(const LogReportT& other102) noexcept {
+  version = other102.version;
+  age_ms = other102.age_ms;
+  __isset = other102.__isset;
+  return *this;
+}
+LogReportT& LogReportT::operator=(LogReportT&& other103) noexcept {
+  version = other103.version;
+  age_ms = other103.age_ms;
+  __isset = other103.__isset;
+  return *this;
+}
+void LogReportT::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LogReportT(";
+  out << "version=" << to_string(version);
+  out << ", " << "age_ms="; (__isset.age_ms ? (out << to_string(age_ms)) : (out << "<null>"));
+  out << ")";
+}
+
+
 BodyT::~BodyT() noexcept {
 }
 
@@ -2530,6 +2655,11 @@
   this->notice_ack = val;
 __isset.notice_ack = true;
 }
+
+void BodyT::__set_log_report(const LogReportT& val) {
+  this->log_report = val;
+__isset.log_report = true;
+}
 std::ostream& operator<<(std::ostream& out, const BodyT& obj)
 {
   obj.printTo(out);
@@ -2630,6 +2760,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->log_report.read(iprot);
+          this->__isset.log_report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2692,6 +2830,11 @@
     xfer += this->notice_ack.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.log_report) {
+    xfer += oprot->writeFieldBegin("log_report", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->log_report.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2708,57 +2851,62 @@
   swap(a.record_delta, b.record_delta);
   swap(a.notice, b.notice);
   swap(a.notice_ack, b.notice_ack);
+  swap(a.log_report, b.log_report);
   swap(a.__isset, b.__isset);
 }
 
-BodyT::BodyT(const BodyT& other100) {
-  ping = other100.ping;
-  ack = other100.ack;
-  ping_request = other100.ping_request;
-  digest_offer = other100.digest_offer;
-  digest_reply = other100.digest_reply;
-  bucket_entries = other100.bucket_entries;
-  record_delta = other100.record_delta;
-  notice = other100.notice;
-  notice_ack = other100.notice_ack;
-  __isset = other100.__isset;
-}
-BodyT::BodyT(BodyT&& other101) noexcept {
-  ping = std::move(other101.ping);
-  ack = std::move(other101.ack);
-  ping_request = std::move(other101.ping_request);
-  digest_offer = std::move(other101.digest_offer);
-  digest_reply = std::move(other101.digest_reply);
-  bucket_entries = std::move(other101.bucket_entries);
-  record_delta = std::move(other101.record_delta);
-  notice = std::move(other101.notice);
-  notice_ack = std::move(other101.notice_ack);
-  __isset = other101.__isset;
-}
-BodyT& BodyT::operator=(const BodyT& other102) {
-  ping = other102.ping;
-  ack = other102.ack;
-  ping_request = other102.ping_request;
-  digest_offer = other102.digest_offer;
-  digest_reply = other102.digest_reply;
-  bucket_entries = other102.bucket_entries;
-  record_delta = other102.record_delta;
-  notice = other102.notice;
-  notice_ack = other102.notice_ack;
-  __isset = other102.__isset;
+BodyT::BodyT(const BodyT& other104) {
+  ping = other104.ping;
+  ack = other104.ack;
+  ping_request = other104.ping_request;
+  digest_offer = other104.digest_offer;
+  digest_reply = other104.digest_reply;
+  bucket_entries = other104.bucket_entries;
+  record_delta = other104.record_delta;
+  notice = other104.notice;
+  notice_ack = other104.notice_ack;
+  log_report = other104.log_report;
+  __isset = other104.__isset;
+}
+BodyT::BodyT(BodyT&& other105) noexcept {
+  ping = std::move(other105.ping);
+  ack = std::move(other105.ack);
+  ping_request = std::move(other105.ping_request);
+  digest_offer = std::move(other105.digest_offer);
+  digest_reply = std::move(other105.digest_reply);
+  bucket_entries = std::move(other105.bucket_entries);
+  record_delta = std::move(other105.record_delta);
+  notice = std::move(other105.notice);
+  notice_ack = std::move(other105.notice_ack);
+  log_report = std::move(other105.log_report);
+  __isset = other105.__isset;
+}
+BodyT& BodyT::operator=(const BodyT& other106) {
+  ping = other106.ping;
+  ack = other106.ack;
+  ping_request = other106.ping_request;
+  digest_offer = other106.digest_offer;
+  digest_reply = other106.digest_reply;
+  bucket_entries = other106.bucket_entries;
+  record_delta = other106.record_delta;
+  notice = other106.notice;
+  notice_ack = other106.notice_ack;
+  log_report = other106.log_report;
+  __isset = other106.__isset;
   return *this;
 }
-BodyT& BodyT::operator=(BodyT&& other103) noexcept {
-  ping = std::move(other103.ping);
-  ack = std::move(other103.ack);
-  ping_request = std::move(other103.ping_request);
-  digest_offer = std::move(other103.digest_offer);
-  digest_reply = std::move(other103.digest_reply);
-  bucket_entries = std::move(other103.bucket_entries);
-  record_delta = std::move(other103.record_delta);
-  notice = std::move(other103.notice);
-  notice_ack = std::move(other103.notice_ack);
-  __isset = other103.__isset;
+BodyT& BodyT::operator=(BodyT&& other107) noexcept {
+  ping = std::move(other107.ping);
+  ack = std::move(other107.ack);
+  ping_request = std::move(other107.ping_request);
+  digest_offer = std::move(other107.digest_offer);
+  digest_reply = std::move(other107.digest_reply);
+  bucket_entries = std::move(other107.bucket_entries);
+  record_delta = std::move(other107.record_delta);
+  notice = std::move(other107.notice);
+  notice_ack = std::move(other107.notice_ack);
+  log_report = std::move(other107.log_report);
+  __isset = other107.__isset;
   return *this;
 }
 void BodyT::printTo(std::ostream& out) const {
@@ -2773,6 +2921,7 @@
   out << ", " << "record_delta="; (__isset.record_delta ? (out << to_string(record_delta)) : (out << "<null>"));
   out << ", " << "notice="; (__isset.notice ? (out << to_string(notice)) : (out << "<null>"));
   out << ", " << "notice_ack="; (__isset.notice_ack ? (out << to_string(notice_ack)) : (out << "<null>"));
+  out << ", " << "log_report="; (__isset.log_report ? (out << to_string(log_report)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2884,14 +3033,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->updates.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->updates.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->updates[_i108].read(iprot);
+              xfer += this->updates[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2904,14 +3053,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->names.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->names.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->names.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += iprot->readString(this->names[_i113]);
+              xfer += iprot->readString(this->names[_i117]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2963,10 +3112,10 @@
     xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-      std::vector<UpdateT> ::const_iterator _iter114;
-      for (_iter114 = this->updates.begin(); _iter114 != this->updates.end(); ++_iter114)
+      std::vector<UpdateT> ::const_iterator _iter118;
+      for (_iter118 = this->updates.begin(); _iter118 != this->updates.end(); ++_iter118)
       {
-        xfer += (*_iter114).write(oprot);
+        xfer += (*_iter118).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2976,10 +3125,10 @@
     xfer += oprot->writeFieldBegin("names", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->names.size()));
-      std::vector<std::string> ::const_iterator _iter115;
-      for (_iter115 = this->names.begin(); _iter115 != this->names.end(); ++_iter115)
+      std::vector<std::string> ::const_iterator _iter119;
+      for (_iter119 = this->names.begin(); _iter119 != this->names.end(); ++_iter119)
       {
-        xfer += oprot->writeString((*_iter115));
+        xfer += oprot->writeString((*_iter119));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3002,46 +3151,46 @@
   swap(a.__isset, b.__isset);
 }
 
-DatagramT::DatagramT(const DatagramT& other116) {
-  sender = other116.sender;
-  version = other116.version;
-  wall_ms = other116.wall_ms;
-  counter = other116.counter;
-  body = other116.body;
-  updates = other116.updates;
-  names = other116.names;
-  __isset = other116.__isset;
-}
-DatagramT::DatagramT(DatagramT&& other117) noexcept {
-  sender = other117.sender;
-  version = other117.version;
-  wall_ms = other117.wall_ms;
-  counter = other117.counter;
-  body = std::move(other117.body);
-  updates = std::move(other117.updates);
-  names = std::move(other117.names);
-  __isset = other117.__isset;
-}
-DatagramT& DatagramT::operator=(const DatagramT& other118) {
-  sender = other118.sender;
-  version = other118.version;
-  wall_ms = other118.wall_ms;
-  counter = other118.counter;
-  body = other118.body;
-  updates = other118.updates;
-  names = other118.names;
-  __isset = other118.__isset;
+DatagramT::DatagramT(const DatagramT& other120) {
+  sender = other120.sender;
+  version = other120.version;
+  wall_ms = other120.wall_ms;
+  counter = other120.counter;
+  body = other120.body;
+  updates = other120.updates;
+  names = other120.names;
+  __isset = other120.__isset;
+}
+DatagramT::DatagramT(DatagramT&& other121) noexcept {
+  sender = other121.sender;
+  version = other121.version;
+  wall_ms = other121.wall_ms;
+  counter = other121.counter;
+  body = std::move(other121.body);
+  updates = std::move(other121.updates);
+  names = std::move(other121.names);
+  __isset = other121.__isset;
+}
+DatagramT& DatagramT::operator=(const DatagramT& other122) {
+  sender = other122.sender;
+  version = other122.version;
+  wall_ms = other122.wall_ms;
+  counter = other122.counter;
+  body = other122.body;
+  updates = other122.updates;
+  names = other122.names;
+  __isset = other122.__isset;
   return *this;
 }
-DatagramT& DatagramT::operator=(DatagramT&& other119) noexcept {
-  sender = other119.sender;
-  version = other119.version;
-  wall_ms = other119.wall_ms;
-  counter = other119.counter;
-  body = std::move(other119.body);
-  updates = std::move(other119.updates);
-  names = std::move(other119.names);
-  __isset = other119.__isset;
+DatagramT& DatagramT::operator=(DatagramT&& other123) noexcept {
+  sender = other123.sender;
+  version = other123.version;
+  wall_ms = other123.wall_ms;
+  counter = other123.counter;
+  body = std::move(other123.body);
+  updates = std::move(other123.updates);
+  names = std::move(other123.names);
+  __isset = other123.__isset;
   return *this;
 }
 void DatagramT::printTo(std::ostream& out) const {
@@ -3134,14 +3283,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->names.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->names.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->names.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += iprot->readString(this->names[_i124]);
+              xfer += iprot->readString(this->names[_i128]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3183,10 +3332,10 @@
   xfer += oprot->writeFieldBegin("names", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->names.size()));
-    std::vector<std::string> ::const_iterator _iter125;
-    for (_iter125 = this->names.begin(); _iter125 != this->names.end(); ++_iter125)
+    std::vector<std::string> ::const_iterator _iter129;
+    for (_iter129 = this->names.begin(); _iter129 != this->names.end(); ++_iter129)
     {
-      xfer += oprot->writeString((*_iter125));
+      xfer += oprot->writeString((*_iter129));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3206,34 +3355,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SyncRequestT::SyncRequestT(const SyncRequestT& other126) {
-  member = other126.member;
-  version = other126.version;
-  failure_domain = other126.failure_domain;
-  names = other126.names;
-  __isset = other126.__isset;
-}
-SyncRequestT::SyncRequestT(SyncRequestT&& other127) noexcept {
-  member = std::move(other127.member);
-  version = other127.version;
-  failure_domain = other127.failure_domain;
-  names = std::move(other127.names);
-  __isset = other127.__isset;
-}
-SyncRequestT& SyncRequestT::operator=(const SyncRequestT& other128) {
-  member = other128.member;
-  version = other128.version;
-  failure_domain = other128.failure_domain;
-  names = other128.names;
-  __isset = other128.__isset;
+SyncRequestT::SyncRequestT(const SyncRequestT& other130) {
+  member = other130.member;
+  version = other130.version;
+  failure_domain = other130.failure_domain;
+  names = other130.names;
+  __isset = other130.__isset;
+}
+SyncRequestT::SyncRequestT(SyncRequestT&& other131) noexcept {
+  member = std::move(other131.member);
+  version = other131.version;
+  failure_domain = other131.failure_domain;
+  names = std::move(other131.names);
+  __isset = other131.__isset;
+}
+SyncRequestT& SyncRequestT::operator=(const SyncRequestT& other132) {
+  member = other132.member;
+  version = other132.version;
+  failure_domain = other132.failure_domain;
+  names = other132.names;
+  __isset = other132.__isset;
   return *this;
 }
-SyncRequestT& SyncRequestT::operator=(SyncRequestT&& other129) noexcept {
-  member = std::move(other129.member);
-  version = other129.version;
-  failure_domain = other129.failure_domain;
-  names = std::move(other129.names);
-  __isset = other129.__isset;
+SyncRequestT& SyncRequestT::operator=(SyncRequestT&& other133) noexcept {
+  member = std::move(other133.member);
+  version = other133.version;
+  failure_domain = other133.failure_domain;
+  names = std::move(other133.names);
+  __isset = other133.__isset;
   return *this;
 }
 void SyncRequestT::printTo(std::ostream& out) const {
@@ -3328,14 +3477,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->members.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->members.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->members[_i134].read(iprot);
+              xfer += this->members[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3348,14 +3497,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->views.clear();
-            uint32_t _size135;
-            ::apache::thrift::protocol::TType _etype138;
-            xfer += iprot->readListBegin(_etype138, _size135);
-            this->views.resize(_size135);
-            uint32_t _i139;
-            for (_i139 = 0; _i139 < _size135; ++_i139)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->views.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += this->views[_i139].read(iprot);
+              xfer += this->views[_i143].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3384,14 +3533,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->names.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->names.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->names.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += iprot->readString(this->names[_i144]);
+              xfer += iprot->readString(this->names[_i148]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3428,10 +3577,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<RecordT> ::const_iterator _iter145;
-    for (_iter145 = this->members.begin(); _iter145 != this->members.end(); ++_iter145)
+    std::vector<RecordT> ::const_iterator _iter149;
+    for (_iter149 = this->members.begin(); _iter149 != this->members.end(); ++_iter149)
     {
-      xfer += (*_iter145).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3440,10 +3589,10 @@
   xfer += oprot->writeFieldBegin("views", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->views.size()));
-    std::vector<ViewT> ::const_iterator _iter146;
-    for (_iter146 = this->views.begin(); _iter146 != this->views.end(); ++_iter146)
+    std::vector<ViewT> ::const_iterator _iter150;
+    for (_iter150 = this->views.begin(); _iter150 != this->views.end(); ++_iter150)
     {
-      xfer += (*_iter146).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3462,10 +3611,10 @@
   xfer += oprot->writeFieldBegin("names", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->names.size()));
-    std::vector<std::string> ::const_iterator _iter147;
-    for (_iter147 = this->names.begin(); _iter147 != this->names.end(); ++_iter147)
+    std::vector<std::string> ::const_iterator _iter151;
+    for (_iter151 = this->names.begin(); _iter151 != this->names.end(); ++_iter151)
     {
-      xfer += oprot->writeString((*_iter147));
+      xfer += oprot->writeString((*_iter151));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3488,46 +3637,46 @@
   swap(a.__isset, b.__isset);
 }
 
-SyncTableT::SyncTableT(const SyncTableT& other148) {
-  sender = other148.sender;
-  version = other148.version;
-  members = other148.members;
-  views = other148.views;
-  previous_incarnation = other148.previous_incarnation;
-  version_floor = other148.version_floor;
-  names = other148.names;
-  __isset = other148.__isset;
-}
-SyncTableT::SyncTableT(SyncTableT&& other149) noexcept {
-  sender = other149.sender;
-  version = other149.version;
-  members = std::move(other149.members);
-  views = std::move(other149.views);
-  previous_incarnation = other149.previous_incarnation;
-  version_floor = other149.version_floor;
-  names = std::move(other149.names);
-  __isset = other149.__isset;
-}
-SyncTableT& SyncTableT::operator=(const SyncTableT& other150) {
-  sender = other150.sender;
-  version = other150.version;
-  members = other150.members;
-  views = other150.views;
-  previous_incarnation = other150.previous_incarnation;
-  version_floor = other150.version_floor;
-  names = other150.names;
-  __isset = other150.__isset;
+SyncTableT::SyncTableT(const SyncTableT& other152) {
+  sender = other152.sender;
+  version = other152.version;
+  members = other152.members;
+  views = other152.views;
+  previous_incarnation = other152.previous_incarnation;
+  version_floor = other152.version_floor;
+  names = other152.names;
+  __isset = other152.__isset;
+}
+SyncTableT::SyncTableT(SyncTableT&& other153) noexcept {
+  sender = other153.sender;
+  version = other153.version;
+  members = std::move(other153.members);
+  views = std::move(other153.views);
+  previous_incarnation = other153.previous_incarnation;
+  version_floor = other153.version_floor;
+  names = std::move(other153.names);
+  __isset = other153.__isset;
+}
+SyncTableT& SyncTableT::operator=(const SyncTableT& other154) {
+  sender = other154.sender;
+  version = other154.version;
+  members = other154.members;
+  views = other154.views;
+  previous_incarnation = other154.previous_incarnation;
+  version_floor = other154.version_floor;
+  names = other154.names;
+  __isset = other154.__isset;
   return *this;
 }
-SyncTableT& SyncTableT::operator=(SyncTableT&& other151) noexcept {
-  sender = other151.sender;
-  version = other151.version;
-  members = std::move(other151.members);
-  views = std::move(other151.views);
-  previous_incarnation = other151.previous_incarnation;
-  version_floor = other151.version_floor;
-  names = std::move(other151.names);
-  __isset = other151.__isset;
+SyncTableT& SyncTableT::operator=(SyncTableT&& other155) noexcept {
+  sender = other155.sender;
+  version = other155.version;
+  members = std::move(other155.members);
+  views = std::move(other155.views);
+  previous_incarnation = other155.previous_incarnation;
+  version_floor = other155.version_floor;
+  names = std::move(other155.names);
+  __isset = other155.__isset;
   return *this;
 }
 void SyncTableT::printTo(std::ostream& out) const {
@@ -3619,22 +3768,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SyncLaterT::SyncLaterT(const SyncLaterT& other152) noexcept {
-  delay_ms = other152.delay_ms;
-  __isset = other152.__isset;
+SyncLaterT::SyncLaterT(const SyncLaterT& other156) noexcept {
+  delay_ms = other156.delay_ms;
+  __isset = other156.__isset;
 }
-SyncLaterT::SyncLaterT(SyncLaterT&& other153) noexcept {
-  delay_ms = other153.delay_ms;
-  __isset = other153.__isset;
+SyncLaterT::SyncLaterT(SyncLaterT&& other157) noexcept {
+  delay_ms = other157.delay_ms;
+  __isset = other157.__isset;
 }
-SyncLaterT& SyncLaterT::operator=(const SyncLaterT& other154) noexcept {
-  delay_ms = other154.delay_ms;
-  __isset = other154.__isset;
+SyncLaterT& SyncLaterT::operator=(const SyncLaterT& other158) noexcept {
+  delay_ms = other158.delay_ms;
+  __isset = other158.__isset;
   return *this;
 }
-SyncLaterT& SyncLaterT::operator=(SyncLaterT&& other155) noexcept {
-  delay_ms = other155.delay_ms;
-  __isset = other155.__isset;
+SyncLaterT& SyncLaterT::operator=(SyncLaterT&& other159) noexcept {
+  delay_ms = other159.delay_ms;
+  __isset = other159.__isset;
   return *this;
 }
 void SyncLaterT::printTo(std::ostream& out) const {
@@ -3741,26 +3890,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SyncResponseT::SyncResponseT(const SyncResponseT& other156) {
-  table = other156.table;
-  later = other156.later;
-  __isset = other156.__isset;
+SyncResponseT::SyncResponseT(const SyncResponseT& other160) {
+  table = other160.table;
+  later = other160.later;
+  __isset = other160.__isset;
 }
-SyncResponseT::SyncResponseT(SyncResponseT&& other157) noexcept {
-  table = std::move(other157.table);
-  later = std::move(other157.later);
-  __isset = other157.__isset;
+SyncResponseT::SyncResponseT(SyncResponseT&& other161) noexcept {
+  table = std::move(other161.table);
+  later = std::move(other161.later);
+  __isset = other161.__isset;
 }
-SyncResponseT& SyncResponseT::operator=(const SyncResponseT& other158) {
-  table = other158.table;
-  later = other158.later;
-  __isset = other158.__isset;
+SyncResponseT& SyncResponseT::operator=(const SyncResponseT& other162) {
+  table = other162.table;
+  later = other162.later;
+  __isset = other162.__isset;
   return *this;
 }
-SyncResponseT& SyncResponseT::operator=(SyncResponseT&& other159) noexcept {
-  table = std::move(other159.table);
-  later = std::move(other159.later);
-  __isset = other159.__isset;
+SyncResponseT& SyncResponseT::operator=(SyncResponseT&& other163) noexcept {
+  table = std::move(other163.table);
+  later = std::move(other163.later);
+  __isset = other163.__isset;
   return *this;
 }
 void SyncResponseT::printTo(std::ostream& out) const {
--- a/packages/wire/gen/membership_types.h
+++ b/packages/wire/gen/membership_types.h
@@ -53,6 +53,8 @@
 
 class NoticeAckT;
 
+class LogReportT;
+
 class BodyT;
 
 class DatagramT;
@@ -1027,8 +1029,62 @@
 
 std::ostream& operator<<(std::ostream& out, const NoticeAckT& obj);
 
+typedef struct _LogReportT__isset {
+  _LogReportT__isset() : version(false), age_ms(false) {}
+  bool version :1;
+  bool age_ms :1;
+} _LogReportT__isset;
+
+class LogReportT : public virtual ::apache::thrift::TBase {
+ public:
+
+  LogReportT(const LogReportT&) noexcept;
+  LogReportT(LogReportT&&) noexcept;
+  LogReportT& operator=(const LogReportT&) noexcept;
+  LogReportT& operator=(LogReportT&&) noexcept;
+  LogReportT() noexcept
+             : version(0),
+               age_ms(0) {
+  }
+
+  virtual ~LogReportT() noexcept;
+  int64_t version;
+  int32_t age_ms;
+
+  _LogReportT__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const LogReportT & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (__isset.age_ms != rhs.__isset.age_ms)
+      return false;
+    else if (__isset.age_ms && !(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const LogReportT &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LogReportT & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LogReportT &a, LogReportT &b);
+
+std::ostream& operator<<(std::ostream& out, const LogReportT& obj);
+
 typedef struct _BodyT__isset {
-  _BodyT__isset() : ping(false), ack(false), ping_request(false), digest_offer(false), digest_reply(false), bucket_entries(false), record_delta(false), notice(false), notice_ack(false) {}
+  _BodyT__isset() : ping(false), ack(false), ping_request(false), digest_offer(false), digest_reply(false), bucket_entries(false), record_delta(false), notice(false), notice_ack(false), log_report(false) {}
   bool ping :1;
   bool ack :1;
   bool ping_request :1;
@@ -1038,6 +1094,7 @@
   bool record_delta :1;
   bool notice :1;
   bool notice_ack :1;
+  bool log_report :1;
 } _BodyT__isset;
 
 class BodyT : public virtual ::apache::thrift::TBase {
@@ -1060,6 +1117,7 @@
   RecordDeltaT record_delta;
   NoticeT notice;
   NoticeAckT notice_ack;
+  LogReportT log_report;
 
   _BodyT__isset __isset;
 
@@ -1081,6 +1139,8 @@
 
   void __set_notice_ack(const NoticeAckT& val);
 
+  void __set_log_report(const LogReportT& val);
+
   bool operator == (const BodyT & rhs) const
   {
     if (__isset.ping != rhs.__isset.ping)
@@ -1119,6 +1179,10 @@
       return false;
     else if (__isset.notice_ack && !(notice_ack == rhs.notice_ack))
       return false;
+    if (__isset.log_report != rhs.__isset.log_report)
+      return false;
+    else if (__isset.log_report && !(log_report == rhs.log_report))
+      return false;
     return true;
   }
   bool operator != (const BodyT &rhs) const {
--- a/packages/wire/idl/membership.thrift
+++ b/packages/wire/idl/membership.thrift
@@ -101,6 +101,12 @@
   1: i64 version
 }
 
+struct LogReportT {
+  1: i64 version
+  // Absent while the sender cannot read the log.
+  2: optional i32 age_ms
+}
+
 union BodyT {
   1: PingT ping
   2: AckT ack
@@ -111,6 +117,7 @@
   7: RecordDeltaT record_delta
   8: NoticeT notice
   9: NoticeAckT notice_ack
+  10: LogReportT log_report
 }
 
 struct DatagramT {
--- a/packages/wire/include/hemlockproxy/wire/MembershipCodec.h
+++ b/packages/wire/include/hemlockproxy/wire/MembershipCodec.h
@@ -17,7 +17,8 @@
   /// The version that the sender enforces; carried by all datagrams.
   model::ConfigVersion version_;
   model::HybridTimestamp stamp_;
-  std::variant<decisions::Datagram, decisions::Notice, decisions::NoticeAck> message_;
+  std::variant<decisions::Datagram, decisions::Notice, decisions::NoticeAck, decisions::LogReport>
+    message_;
 };
 
 /// Returns the bytes of a membership datagram; its stamp_ is that of sending.
@@ -25,7 +26,7 @@
 /// The ids in it must be IPv4 control addresses.
 [[nodiscard]] std::string EncodeDatagram(const decisions::Datagram& aDatagram);
 
-/// Returns the bytes of a notice or an acknowledgement.
+/// Returns the bytes of a notice, an acknowledgement or a report.
 [[nodiscard]] std::string EncodeNotice(const decisions::Notice& aNotice,
                                        model::ConfigVersion aEnforced,
                                        model::HybridTimestamp aStamp);
@@ -33,6 +34,10 @@
                                           model::ConfigVersion aEnforced,
                                           model::HybridTimestamp aStamp);
 
+[[nodiscard]] std::string EncodeLogReport(const decisions::LogReport& aReport,
+                                          model::ConfigVersion aEnforced,
+                                          model::HybridTimestamp aStamp);
+
 /// Reads any datagram of the control port; fails on malformed bytes, unknown states, negative
 /// numbers and names that are not listed.
 [[nodiscard]] model::Result<ControlDatagram, DecodeError> DecodeDatagram(std::string_view aBytes);
--- a/packages/wire/src/DatagramCodec.cpp
+++ b/packages/wire/src/DatagramCodec.cpp
@@ -207,6 +207,17 @@
   return out;
 }
 
+decisions::LogReport ReadLogReport(MembershipReader& aReader,
+                                   const gen::LogReportT& aBody,
+                                   const model::DaemonId& aFrom)
+{
+  decisions::LogReport out{ aFrom, model::ConfigVersion(aReader.Number(aBody.version)), {} };
+  if (aBody.__isset.age_ms) {
+    out.age_ = std::chrono::milliseconds(aReader.Number(aBody.age_ms));
+  }
+  return out;
+}
+
 /// Returns the body of a membership datagram, or nothing when there is none.
 std::optional<decisions::DatagramBody> ReadBody(MembershipReader& aReader,
                                                 const gen::BodyT& aBody,
@@ -286,6 +297,21 @@
   return EncodeThrift(out);
 }
 
+std::string EncodeLogReport(const decisions::LogReport& aReport,
+                            model::ConfigVersion aEnforced,
+                            model::HybridTimestamp aStamp)
+{
+  gen::LogReportT report;
+  report.version = Signed(aReport.version_.Value());
+  if (aReport.age_) {
+    report.__set_age_ms(static_cast<std::int32_t>(aReport.age_->count()));
+  }
+  gen::DatagramT out;
+  WriteHeader(out, aReport.from_, aEnforced, aStamp);
+  out.body.__set_log_report(report);
+  return EncodeThrift(out);
+}
+
 model::Result<ControlDatagram, DecodeError> DecodeDatagram(std::string_view aBytes)
 {
   auto decoded = DecodeThrift<gen::DatagramT>(aBytes);
@@ -308,6 +334,8 @@
     out.message_ =
       decisions::NoticeAck{ out.from_,
                             model::ConfigVersion(reader.Number(decoded->body.notice_ack.version)) };
+  } else if (decoded->body.__isset.log_report) {
+    out.message_ = ReadLogReport(reader, decoded->body.log_report, out.from_);
   } else {
     auto body = ReadBody(reader, decoded->body, out.from_);
     if (!body) {
--- a/packages/wire/tests/MembershipCodecTest.cpp
+++ b/packages/wire/tests/MembershipCodecTest.cpp
@@ -61,6 +61,23 @@
   CHECK_TRUE(std::get<DomainView>(out.updates_.at(2)) == view);
 }
 
+// Guards against a report of a lost log that is read as one of a current log.
+TEST(MembershipCodec, KeepsLogReports)
+{
+  using std::chrono::milliseconds;
+  for (const std::optional<milliseconds> age : { std::optional(milliseconds(0)),
+                                                 std::optional(milliseconds(1350)),
+                                                 std::optional<milliseconds>() }) {
+    const LogReport report{ Record(2)->id_, model::ConfigVersion(64), age };
+    const auto decoded =
+      wire::DecodeDatagram(wire::EncodeLogReport(report, model::ConfigVersion(62), { 1, 2 }));
+    CHECK_TRUE(decoded.Ok());
+    const auto& out = std::get<LogReport>(decoded->message_);
+    CHECK_TRUE(out.from_ == report.from_ && out.version_ == report.version_ && out.age_ == age);
+    CHECK_TRUE(decoded->version_ == model::ConfigVersion(62));
+  }
+}
+
 // Guards against an Ack or a digest exchange that reads differently on the other side.
 TEST(MembershipCodec, KeepsEachBody)
 {
