Count the wait for an acknowledgement from the oldest version not yet enforced

What callers saw: 404 for routes that had been added more than 2 s before, at a daemon that held the version. Cause: a log reader enforces a version once a peer holds it, or half of apply_within later. That limit counted from the newest version, so that versions in quick succession kept starting it anew; with peers that all stood still none of them was enforced until the last one. Class: a time limit that is reset by the events that it is meant to bound. Change: the limit counts from the oldest version that is held and not enforced, and is a quarter of apply_within, since the replacement of a silent reader may have taken 0.375 of it before.

--- a/packages/decisions/include/hemlockproxy/decisions/Distribution.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Distribution.h
@@ -46,8 +46,9 @@
   /// A starting daemon reads the log itself if no peer has made it ready within this time plus
   /// as much jitter.
   std::chrono::milliseconds startLogDelay_{ 2000 };
-  /// The longest time for which a version waits for a peer to hold it before it is enforced. Peers
-  /// that do not answer may be cut off, and the operator's version must still come into force.
+  /// The longest time for which a version waits for a peer to hold it before it or a newer one is
+  /// enforced. Peers that do not answer may be cut off, and the operator's version must still come
+  /// into force.
   std::chrono::milliseconds acknowledgementLimit_{ 8000 };
   std::chrono::milliseconds logRetry_{ 5000 };
   /// Interval at which a log reader reports to its domain.
--- a/packages/decisions/src/Distribution.cpp
+++ b/packages/decisions/src/Distribution.cpp
@@ -25,8 +25,9 @@
   ProfileRow{ 1, std::chrono::milliseconds(500), std::chrono::milliseconds(3000) },
 };
 
-/// A version may wait this part of its time for a peer to hold it.
-constexpr int kAcknowledgementPart = 2;
+/// A version may wait this part of its time for a peer to hold it; the replacement of a silent log
+/// reader may have taken twice as much before.
+constexpr int kAcknowledgementPart = 4;
 /// One peer may take this part of it, so that a version is fetched from a second one in time.
 constexpr int kFetchPart = 5;
 /// Two reports may be late or lost before a log reader is replaced, and what remains of the time
--- a/packages/decisions/src/impl/DistributionEngine.cpp
+++ b/packages/decisions/src/impl/DistributionEngine.cpp
@@ -98,8 +98,10 @@
 
 void DistributionEngine::Hold(model::ConfigurationPtr aConfiguration, HandoverPtr aHandover)
 {
+  if (held_ == enforced_) {
+    unenforcedSince_ = now_;
+  }
   held_ = std::move(aConfiguration);
-  heldSince_ = now_;
   handover_ = std::move(aHandover);
   // Before any acknowledgement, so that a peer that relies on it and restarts finds the floor.
   out_.emplace_back(VersionHeld{ held_->version_ });
@@ -138,7 +140,7 @@
 bool DistributionEngine::NeedsAcknowledgement() const
 {
   return held_ && held_->version_ > peerHolds_ && !NoticePeers().empty() &&
-         now_ - heldSince_ < options_.acknowledgementLimit_;
+         now_ - unenforcedSince_ < options_.acknowledgementLimit_;
 }
 
 void DistributionEngine::TryEnforce()
--- a/packages/decisions/src/impl/DistributionEngine.h
+++ b/packages/decisions/src/impl/DistributionEngine.h
@@ -100,8 +100,8 @@
   /// The highest version that another daemon of the own domain is known to hold; of any domain
   /// where this daemon is alone in its own.
   model::ConfigVersion peerHolds_;
-  /// When the held version was taken in.
-  model::TimePoint heldSince_;
+  /// When the oldest version was taken in of those that are held and have not been enforced.
+  model::TimePoint unenforcedSince_;
   bool heldFromPeer_ = false;
   model::ConfigVersion floor_;
   bool floorSettled_ = false;
