Let a log reader that has fallen behind read the newest configuration

What callers would see: a daemon that becomes a log reader again, or reads more slowly than versions are written, enforces old versions one after the other. Cause: it read on from the offset where it had stopped, at most 1 MB per read and with 150 ms between reads, although only the newest version counts. Unit tests of the source. Change: a source that starts again, or whose read did not reach the log's end, reads the newest record of each key next, without a pause.

--- a/packages/daemon/include/hemlockproxy/daemon/OperatorConfigSource.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OperatorConfigSource.h
@@ -30,7 +30,12 @@
                        decltype(Adapters::decodeConfiguration_) aDecode,
                        runtime::EventRing& aEvents);
 
-  void Start(const decisions::HandoverPtr& /*aHandover*/) override { pace_.Start(); }
+  void Start(const decisions::HandoverPtr& /*aHandover*/) override
+  {
+    // Whatever was written since an earlier Stop is in the newest configuration.
+    positioned_ = false;
+    pace_.Start();
+  }
   void Stop() override { pace_.Stop(); }
   void ReadTail() override { pace_.ReadTail(); }
   void TakePeerState(const decisions::HandoverPtr& /*aHandover*/) override {}
--- a/packages/daemon/src/OperatorConfigSource.cpp
+++ b/packages/daemon/src/OperatorConfigSource.cpp
@@ -68,7 +68,11 @@
   (void)std::any_of(records.rbegin(), records.rend(), [this](const runtime::LogRecord& aRecord) {
     return TakeRecord(aRecord);
   });
-  if (!aResult->records_.empty()) {
+  const bool atEnd = next_ >= aResult->next_;
+  if (!atEnd) {
+    // Only the newest version counts, and records may be written faster than they are read.
+    positioned_ = false;
+  } else if (!aResult->records_.empty()) {
     pace_.PauseUntil(aNow + kReadGap);
   }
   std::vector<DistributionEvent> out;
@@ -76,7 +80,7 @@
     reported_ = newest_->version_;
     out.emplace_back(decisions::LogVersionAccepted{ newest_, nullptr });
   }
-  if (next_ >= aResult->next_ && newest_) {
+  if (atEnd && newest_) {
     out.emplace_back(decisions::LogTailReached{ read_.End(aNow, aResult->records_.empty()) });
     pace_.TailReached();
   }
--- a/packages/daemon/tests/OperatorConfigSourceTest.cpp
+++ b/packages/daemon/tests/OperatorConfigSourceTest.cpp
@@ -171,3 +171,29 @@
   LONGS_EQUAL(1, events.size());
   CHECK_TRUE(std::holds_alternative<decisions::LogReadFailed>(events.front()));
 }
+
+// Guards against a member that becomes a reader again and reads all versions that it has missed.
+TEST(OperatorConfigSource, ReadsTheNewestWhenItStartsAgain)
+{
+  source_.Start(nullptr);
+  (void)Next<LogNewestCommand>();
+  (void)Finish(Batch(0, { "1" }));
+  source_.Stop();
+  now_ = 10000;
+  source_.Start(nullptr);
+  (void)Next<LogNewestCommand>();
+}
+
+// Guards against a reader that falls behind versions written faster than it reads them.
+TEST(OperatorConfigSource, SkipsToTheNewestWhenAReadDoesNotReachTheEnd)
+{
+  source_.Start(nullptr);
+  (void)Next<LogNewestCommand>();
+  (void)Finish(Batch(0, { "1" }));
+  now_ = 1000;
+  (void)Next<LogReadCommand>();
+  auto behind = Batch(1, { "2", "3" });
+  behind.next_ = model::LogOffset(9);
+  LONGS_EQUAL(3, Accepted(Finish(behind)));
+  (void)Next<LogNewestCommand>();
+}
