Answer 503 for an unknown route while the configuration is unconfirmed

What callers saw: a 404, which is final, from a daemon that could not know whether a newer version had the route. Cause: a 404 says something of the newest configuration, and the daemon only knew its own one. The age of what it held was known nowhere. Change: reads of the log and the readers' reports tell for which time the version in force was the newest one (config_unconfirmed_milliseconds). Where that is longer ago than apply_within, an unknown route gets 503 configuration-outdated with Retry-After instead of 404. Conclusion: a daemon that is cut off from log and peers no longer sends callers away for good.

--- a/packages/daemon/include/hemlockproxy/daemon/EntryService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/EntryService.h
@@ -42,6 +42,8 @@
   DialectPtr dialect_;
   /// The service of the backend server on this instance.
   model::ServiceName callerService_;
+  /// The time in which a new version of the configuration has to be in force.
+  std::chrono::milliseconds applyWithin_{ 8000 };
   /// Whether callers mark requests with idempotency keys.
   bool keyed_ = true;
   /// Whether a broken response is resumed at another endpoint by a range request.
--- a/packages/daemon/include/hemlockproxy/daemon/TrafficView.h
+++ b/packages/daemon/include/hemlockproxy/daemon/TrafficView.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockproxy/decisions/RouteIndex.h"
+#include "hemlockproxy/model/Clock.h"
 #include "hemlockproxy/model/Member.h"
 
 #include <atomic>
@@ -37,7 +38,13 @@
   [[nodiscard]] TrafficViewPtr Load() const noexcept { return view_.load(); }
   void Store(TrafficViewPtr aView) noexcept { view_.store(std::move(aView)); }
 
+  /// Returns when the configuration of the view was last known to be the newest one; the clock's
+  /// epoch when it never was. Kept beside the view, since it changes far more often.
+  [[nodiscard]] model::TimePoint CurrentAsOf() const noexcept { return currentAsOf_.load(); }
+  void SetCurrentAsOf(model::TimePoint aTime) noexcept { currentAsOf_.store(aTime); }
+
 private:
+  std::atomic<model::TimePoint> currentAsOf_{ model::TimePoint() };
   std::atomic<TrafficViewPtr> view_;
 };
 
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -216,6 +216,10 @@
 {
   Membership(decisions::MembershipTick{});
   Distribution(decisions::DistributionTick{});
+  if (const auto current = distribution_.CurrentAsOf()) {
+    const auto age = std::chrono::floor<std::chrono::milliseconds>(Now() - *current);
+    metrics_.Set(Gauge::ConfigUnconfirmed, static_cast<std::uint64_t>(age.count()));
+  }
   if (claims_) {
     claims_->Tick(Now());
   }
@@ -403,6 +407,9 @@
       },
       action);
   }
+  if (const auto current = distribution_.CurrentAsOf()) {
+    views_.SetCurrentAsOf(*current);
+  }
   return reply;
 }
 
--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -212,7 +212,10 @@
   const model::RouteRule* found = aView.routes_->Find(
     { host.data(), host.size() }, { method.data(), method.size() }, { path.data(), path.size() });
   if (found == nullptr) {
-    return Refused(RequestOutcome::NotRun, RefusalReason::NoRoute);
+    // A newer version, which this daemon should have by now, may have the route.
+    const bool outdated = aCall.started_ - views_.CurrentAsOf() >= options_.applyWithin_;
+    return Refused(RequestOutcome::NotRun,
+                   outdated ? RefusalReason::ConfigurationOutdated : RefusalReason::NoRoute);
   }
   const model::RouteRule& rule = *found;
   aCall.version_ = aView.routes_->Configuration().version_;
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -32,6 +32,7 @@
   options.exchange_.stallTimeout_ = aSettings.stallTimeout_;
   options.dialect_ = aAdapters.dialect_;
   options.callerService_ = aSettings.callerService_;
+  options.applyWithin_ = aSettings.applyWithin_;
   options.retryLimit_ = { aSettings.retryShare_, aSettings.retryWindow_, aSettings.retryExtra_ };
   options.keyed_ = aSettings.interface_ == Interface::Hemlock;
   options.resumes_ = options.keyed_;
--- a/packages/daemon/tests/EntryServiceTest.cpp
+++ b/packages/daemon/tests/EntryServiceTest.cpp
@@ -44,6 +44,7 @@
   Entry& operator=(const Entry&) = delete;
 
   [[nodiscard]] model::Address Address() const { return callers_->Address(); }
+  [[nodiscard]] TrafficViewSlot& Views() { return surroundings_.views_; }
   [[nodiscard]] runtime::RequestHeader Request() const
   {
     return runtime::MakeRequest(runtime::http::verb::get, "/", Address());
@@ -126,3 +127,22 @@
     LONGS_EQUAL(1, second.Abandoned());
   });
 }
+
+// Guards against a 404 by an old configuration for a route that the newest one may have.
+TEST(EntryService, SaysThatARouteIsUnknownOnlyWhileItsConfigurationIsCurrent)
+{
+  runtime::RunInLoop([](const runtime::IoContextPtr& aIo) {
+    CountingServer owner(aIo);
+    Entry entry(aIo, { owner.Address() });
+    entry.Views().Store(MakeView({ owner.Address() }, "/known/"));
+    LONGS_EQUAL(503, StatusOf(*aIo, entry.Address(), entry.Request()));
+    const auto now = std::chrono::steady_clock::now();
+    entry.Views().SetCurrentAsOf(now);
+    LONGS_EQUAL(404, StatusOf(*aIo, entry.Address(), entry.Request()));
+    entry.Views().SetCurrentAsOf(now - EntryOptions().applyWithin_);
+    LONGS_EQUAL(503, StatusOf(*aIo, entry.Address(), entry.Request()));
+    auto known = entry.Request();
+    known.target("/known/");
+    LONGS_EQUAL(200, StatusOf(*aIo, entry.Address(), known));
+  });
+}
--- a/packages/decisions/src/RetryPolicy.cpp
+++ b/packages/decisions/src/RetryPolicy.cpp
@@ -26,6 +26,7 @@
   switch (aReason) {
     case RefusalReason::NoConfiguration:
     case RefusalReason::NoRoute:
+    case RefusalReason::ConfigurationOutdated:
     case RefusalReason::KeyRequired:
     case RefusalReason::ClaimUnavailable:
     case RefusalReason::AlreadyClaimed:
--- a/packages/model/include/hemlockproxy/model/RequestOutcome.h
+++ b/packages/model/include/hemlockproxy/model/RequestOutcome.h
@@ -21,6 +21,8 @@
   None,
   NoConfiguration,
   NoRoute,
+  /// No route matches, and the configuration is not known to be the newest one.
+  ConfigurationOutdated,
   NoEndpoint,
   QueueFull,
   RateLimited,
--- a/packages/model/src/RequestOutcome.cpp
+++ b/packages/model/src/RequestOutcome.cpp
@@ -11,6 +11,8 @@
       return "no-configuration";
     case RefusalReason::NoRoute:
       return "no-route";
+    case RefusalReason::ConfigurationOutdated:
+      return "configuration-outdated";
     case RefusalReason::NoEndpoint:
       return "no-endpoint";
     case RefusalReason::QueueFull:
--- a/packages/runtime/include/hemlockproxy/runtime/Metrics.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Metrics.h
@@ -51,6 +51,7 @@
   /// The highest version that this daemon holds, enforced or not.
   ConfigHeld,
   LogReader,
+  ConfigUnconfirmed,
   PeersSilent,
   OwnerRunning,
   OwnerQueued,
