--- a/packages/daemon/tests/TrafficFixture.h
+++ b/packages/daemon/tests/TrafficFixture.h
@@ -134,8 +134,8 @@
   return owner;
 }
 
-/// A view with a route of the given prefix to the service, which the daemons with the given addresses own. The
-/// first of them is in the failure domain of the entry and so is asked first.
+/// A view with a route of the given prefix to the service, which the daemons with the given
+/// addresses own. The first of them is in the failure domain of the entry and so is asked first.
 inline TrafficViewPtr MakeView(const std::vector<model::Address>& aOwners,
                                const std::string& aPrefix = "/")
 {
