--- a/packages/daemon/tests/TrafficFixture.h
+++ b/packages/daemon/tests/TrafficFixture.h
@@ -12,6 +12,7 @@
 #include "TestLoop.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -64,6 +65,11 @@
     server_.Start();
   }
 
+  /// Adds a field to the answers from now on.
+  void SetField(std::string aName, std::string aValue)
+  {
+    fields_[std::move(aName)] = std::move(aValue);
+  }
   [[nodiscard]] int Requests() const noexcept { return requests_; }
   /// Returns the requests whose caller left before the answer.
   [[nodiscard]] int Abandoned() const noexcept { return abandoned_; }
@@ -87,6 +93,9 @@
     header.set(kOutcomeField, ToString(outcome_));
     header.set(kReasonField, ToString(model::RefusalReason::QueueFull));
     header.set(runtime::http::field::content_length, "2");
+    for (const auto& [name, value] : fields_) {
+      header.set(name, value);
+    }
     (void)aExchange.SendHeader(std::move(header));
     (void)aExchange.SendBody("ok");
     (void)aExchange.Finish();
@@ -94,6 +103,7 @@
 
   std::chrono::milliseconds work_;
   model::RequestOutcome outcome_;
+  std::map<std::string, std::string> fields_;
   int requests_ = 0;
   int abandoned_ = 0;
   Server server_;
