Pace requests by the limit that a backend server states

Cause: nothing read the field; an owner filled all slots that its backend server had reported. Class: news in responses that no one takes in. Change: the dialects read the field, StatedLimit follows it, Admission::SetPace bounds the starts; event traffic.request-limit, metric owner_request_limit. Conclusion: the owner sees all requests of its backend server, so that no daemons need to agree; what the limits leave no room for is rejected.

--- a/packages/daemon/include/hemlockproxy/daemon/Dialect.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Dialect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockproxy/daemon/BackendStatus.h"
 #include "hemlockproxy/model/BackendReport.h"
 #include "hemlockproxy/model/Clock.h"
 #include "hemlockproxy/model/Config.h"
@@ -64,6 +65,7 @@
   std::optional<ReportedLoad> load_;
   /// How long the connection stays open without a request; nothing when the server does not say.
   std::optional<std::chrono::milliseconds> keepAlive_;
+  BackendStatus status_;
 };
 
 /// Says how requests look outside the mesh: the header fields that callers and backend servers
@@ -89,6 +91,11 @@
   [[nodiscard]] virtual std::string RetryAfter(std::chrono::milliseconds aTime) const = 0;
 };
 
+/// Returns the limit on requests per second in a field of a response; nothing without one. A text
+/// that is no number is logged and ignored.
+[[nodiscard]] std::optional<double> ReadRequestLimit(const runtime::ResponseHeader& aHeader,
+                                                     const char* aField);
+
 using DialectPtr = std::shared_ptr<const Dialect>;
 
 /// Returns the dialect of callers and backend servers that know the product's own fields.
--- a/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
@@ -7,6 +7,7 @@
 #include "hemlockproxy/decisions/Admission.h"
 #include "hemlockproxy/decisions/BackendRegistry.h"
 #include "hemlockproxy/decisions/Quarantine.h"
+#include "hemlockproxy/decisions/StatedLimit.h"
 #include "hemlockproxy/decisions/TransferQueue.h"
 #include "hemlockproxy/runtime/EventRing.h"
 #include "hemlockproxy/runtime/HttpClient.h"
@@ -115,6 +116,14 @@
                                        const model::BackendReport& aBackend,
                                        UpstreamRequest& aRequest,
                                        UpstreamReply aReply);
+  /// Takes in what the backend server said with its response to a request sent at aSent.
+  void NoteStatus(const model::BackendReport& aBackend,
+                  const BackendStatus& aStatus,
+                  model::TimePoint aSent);
+  /// Takes the limit that the backend server states into use.
+  void ApplyRequestLimit(model::TimePoint aNow);
+  /// Returns whether a report is of the present start of the backend server.
+  [[nodiscard]] bool IsCurrent(const model::BackendReport& aBackend) const;
   /// Counts and logs a request whose caller has left.
   void NoteCallerLeft(std::string_view aId, impl::LeftStage aStage, model::TimePoint aStarted);
   void StartTicker();
@@ -132,6 +141,7 @@
   TellPeers tellPeers_;
   OnEndpoint onEndpoint_;
   decisions::BackendRegistry registry_;
+  decisions::StatedLimit limit_;
   decisions::Quarantine quarantine_;
   std::unique_ptr<impl::LinkScheduler> link_;
   TrafficViewPtr seen_;
--- a/packages/daemon/include/hemlockproxy/daemon/Upstream.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Upstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockproxy/daemon/BackendStatus.h"
 #include "hemlockproxy/daemon/CancelSource.h"
 #include "hemlockproxy/model/Clock.h"
 #include "hemlockproxy/model/Ids.h"
@@ -27,6 +28,8 @@
 inline constexpr const char* kWaitField = "Hemlock-Wait-Ms";
 inline constexpr const char* kQuarantineField = "Hemlock-Quarantine";
 inline constexpr const char* kClassField = "Hemlock-Class";
+/// The requests per second that a backend server takes from all daemons together; a decimal number.
+inline constexpr const char* kRequestLimitField = "Hemlock-Request-Limit";
 inline constexpr const char* kCallerField = "Hemlock-Caller";
 inline constexpr const char* kKeyField = "Idempotency-Key";
 
@@ -97,6 +100,8 @@
   model::RefusalReason reason_ = model::RefusalReason::None;
   runtime::ResponseHeader header_;
   std::unique_ptr<UpstreamBody> body_;
+  /// What the backend server said of itself, where it responded to the request.
+  std::optional<BackendStatus> status_;
   /// The owner's requests running or waiting, where it told them.
   std::optional<std::uint32_t> load_;
   /// For how long a rejected request would have waited, where the owner told it.
--- a/packages/daemon/src/HemlockDialect.cpp
+++ b/packages/daemon/src/HemlockDialect.cpp
@@ -1,8 +1,13 @@
 #include "hemlockproxy/daemon/Dialect.h"
 #include "hemlockproxy/daemon/Upstream.h"
 
+#include "hemlockproxy/model/Number.h"
+#include "hemlockproxy/runtime/EventRing.h"
+
 #include "impl/Delivery.h"
 
+#include <cmath>
+
 namespace hemlockproxy::daemon {
 
 namespace {
@@ -26,10 +31,12 @@
     aHeader.set(kDeadlineField, std::to_string(aRequest.timeLeft_.count()));
   }
 
-  [[nodiscard]] BackendResponse ReadBackendResponse(const runtime::ResponseHeader& /*aHeader*/,
+  [[nodiscard]] BackendResponse ReadBackendResponse(const runtime::ResponseHeader& aHeader,
                                                     std::string_view /*aRequestId*/) const override
   {
-    return {};
+    BackendResponse response;
+    response.status_.requestLimit_ = ReadRequestLimit(aHeader, kRequestLimitField);
+    return response;
   }
 
   [[nodiscard]] std::string RetryAfter(std::chrono::milliseconds aTime) const override
@@ -42,6 +49,23 @@
 
 } // namespace
 
+std::optional<double> ReadRequestLimit(const runtime::ResponseHeader& aHeader, const char* aField)
+{
+  const auto text = aHeader[aField];
+  if (text.empty()) {
+    return std::nullopt;
+  }
+  const auto limit = model::ParseNumber<double>(text);
+  if (!limit || !std::isfinite(*limit) || *limit < 0) {
+    runtime::Log(runtime::LogLevel::Warn,
+                 "traffic",
+                 std::string(aField) + " of a backend server ignored: found '" + std::string(text) +
+                   "'; expected requests per second as a decimal number");
+    return std::nullopt;
+  }
+  return limit;
+}
+
 DialectPtr MakeHemlockDialect()
 {
   return std::make_shared<const HemlockDialect>();
--- a/packages/daemon/src/HttpUpstream.cpp
+++ b/packages/daemon/src/HttpUpstream.cpp
@@ -231,17 +231,22 @@
                    exchange.SourceError() ? impl::ReasonOfBody(*exchange.SourceError())
                                           : ReasonOf(header.Error()));
   }
+  UpstreamReply reply;
   if (aOptions.dialect_ != nullptr) {
     const BackendResponse response = aOptions.dialect_->ReadBackendResponse(*header, aRequest.id_);
     if (response.meaning_ != ResponseMeaning::Answer) {
       if (aRequest.cancel_ != nullptr) {
         aRequest.cancel_->SetAction({});
       }
-      return RefuseAs(response.meaning_, aPool, aAddress, std::move(connection));
+      UpstreamReply refusal = RefuseAs(response.meaning_, aPool, aAddress, std::move(connection));
+      if (response.meaning_ == ResponseMeaning::NotRun) {
+        refusal.status_ = response.status_;
+      }
+      return refusal;
     }
     connection->SetIdleLimit(response.keepAlive_);
+    reply.status_ = response.status_;
   }
-  UpstreamReply reply;
   reply.outcome_ = RequestOutcome::Answered;
   reply.header_ = *std::move(header);
   reply.body_ =
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -11,6 +11,8 @@
 #include <boost/fiber/future/promise.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include <cmath>
+
 namespace hemlockproxy::daemon {
 
 using decisions::FinishKind;
@@ -180,8 +182,13 @@
 void OwnerService::Report(const model::BackendReport& aReport)
 {
   const bool drained = registry_.Current() && registry_.Current()->draining_;
+  const bool sameStart = IsCurrent(aReport);
   if (registry_.Report(std::chrono::steady_clock::now(), aReport) ==
       decisions::ReportUse::Changed) {
+    if (!sameStart && limit_.PerSecond()) {
+      limit_ = {};
+      ApplyRequestLimit(std::chrono::steady_clock::now());
+    }
     BackendChanged(!drained && registry_.Current()->draining_
                      ? runtime::LogEvent::EndpointDraining
                      : runtime::LogEvent::EndpointAnnounced);
@@ -252,6 +259,7 @@
       return;
     }
     admission_.emplace(*std::move(created));
+    (void)admission_->SetPace(now, limit_.PerSecond());
     service_ = backend->service_;
   } else {
     Dispatch(admission_->Update(now, backend->slots_, limits));
@@ -387,6 +395,9 @@
   options_.dialect_->WriteBackendRequest(
     aRequest.header_, { TimeLeft(aRequest.deadline_), aBackend.id_, aRequest.callerService_ });
   UpstreamReply reply = RunExchange(pool_, aBackend.address_, aRequest, options_.exchange_);
+  if (reply.status_) {
+    NoteStatus(aBackend, *reply.status_, started);
+  }
   if (reply.outcome_ != RequestOutcome::Answered) {
     if (reply.reason_ == RefusalReason::UpstreamFailed && !aRequest.cancel_->Stopped()) {
       reply.evidence_ = EvidenceFor(FingerprintOf(aRequest), CheckForCrash(aBackend.address_));
@@ -399,6 +410,38 @@
   return HoldBody(aId, aBackend, aRequest, std::move(reply));
 }
 
+void OwnerService::NoteStatus(const model::BackendReport& aBackend,
+                              const BackendStatus& aStatus,
+                              model::TimePoint aSent)
+{
+  const auto now = std::chrono::steady_clock::now();
+  const bool limited = limit_.PerSecond().has_value();
+  if (!IsCurrent(aBackend) || !limit_.Observe(aSent, now, aStatus.requestLimit_)) {
+    return;
+  }
+  if (limited != limit_.PerSecond().has_value()) {
+    events_.Add(runtime::LogEvent::RequestLimit,
+                limited ? "none" : std::to_string(*limit_.PerSecond()) + " requests per second");
+  }
+  ApplyRequestLimit(now);
+}
+
+void OwnerService::ApplyRequestLimit(model::TimePoint aNow)
+{
+  const auto perSecond = limit_.PerSecond();
+  metrics_.Set(runtime::Gauge::OwnerRequestLimit,
+               static_cast<std::uint64_t>(std::ceil(perSecond.value_or(0))));
+  if (admission_) {
+    Dispatch(admission_->SetPace(aNow, perSecond));
+  }
+}
+
+bool OwnerService::IsCurrent(const model::BackendReport& aBackend) const
+{
+  const auto& current = registry_.Current();
+  return current && current->id_ == aBackend.id_ && current->startedAt_ == aBackend.startedAt_;
+}
+
 UpstreamReply OwnerService::HoldBody(RequestId aId,
                                      const model::BackendReport& aBackend,
                                      UpstreamRequest& aRequest,
--- a/packages/decisions/include/hemlockproxy/decisions/Admission.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Admission.h
@@ -153,6 +153,11 @@
   [[nodiscard]] std::vector<AdmissionAction> Update(model::TimePoint aNow,
                                                     std::uint32_t aSlots,
                                                     const model::LimitSet& aLimits);
+  /// Bounds the requests that start per second, for a backend server that takes no more at present;
+  /// nothing ends the bound. Other than at the limits of the configuration, requests beyond it wait
+  /// in the queue.
+  [[nodiscard]] std::vector<AdmissionAction> SetPace(model::TimePoint aNow,
+                                                     std::optional<double> aPerSecond);
   /// Rejects the queue and all later requests as Leaving; running requests go on.
   [[nodiscard]] std::vector<AdmissionAction> StartDraining();
   /// Accepts requests again, when a backend server withdraws its draining announcement.
@@ -200,6 +205,17 @@
   };
 
   [[nodiscard]] AdmissionVerdict ArriveAlone(model::TimePoint aNow, const QueuedRequest& aRequest);
+  /// Takes what a request needs to start now; returns false when it has to wait for the pace.
+  [[nodiscard]] bool TakeStart(model::TimePoint aNow) noexcept
+  {
+    return !pace_ || pace_->Take(aNow);
+  }
+  [[nodiscard]] bool PaceAllowsStart(model::TimePoint aNow) const noexcept
+  {
+    return PaceWait(aNow, 0) == model::Duration{};
+  }
+  /// Returns for how long the pace keeps a request waiting that has others ahead.
+  [[nodiscard]] model::Duration PaceWait(model::TimePoint aNow, std::size_t aAhead) const noexcept;
   void EndAlone(model::TimePoint aNow);
   void StartAlone(model::TimePoint aNow, std::vector<AdmissionAction>& aActions);
   void ApplyLimits(std::uint32_t aSlots, const model::LimitSet& aLimits);
@@ -233,6 +249,7 @@
   std::size_t capacity_ = 1;
   std::size_t queueLimit_ = 0;
   std::optional<TokenBucket> rate_;
+  std::optional<TokenBucket> pace_;
   bool draining_ = false;
   std::uint64_t arrivals_ = 0;
   std::map<std::uint32_t, Lane> lanes_;
--- a/packages/decisions/include/hemlockproxy/decisions/Decisions.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Decisions.h
@@ -31,6 +31,7 @@
 #include "hemlockproxy/decisions/RouteIndex.h"
 #include "hemlockproxy/decisions/RunKind.h"
 #include "hemlockproxy/decisions/ServiceTimeEstimate.h"
+#include "hemlockproxy/decisions/StatedLimit.h"
 #include "hemlockproxy/decisions/TokenBucket.h"
 #include "hemlockproxy/decisions/TransferQueue.h"
 #include "hemlockproxy/decisions/WeightedSplit.h"
--- a/packages/decisions/include/hemlockproxy/decisions/Fwd.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Fwd.h
@@ -23,6 +23,7 @@
 class RetryPolicy;
 class RouteIndex;
 class ServiceTimeEstimate;
+class StatedLimit;
 class TokenBucket;
 class WeightedSplit;
 struct AdmissionOptions;
--- a/packages/decisions/src/Admission.cpp
+++ b/packages/decisions/src/Admission.cpp
@@ -21,6 +21,11 @@
 // most 1.25 times the limit.
 constexpr double kBurstSeconds = 0.25;
 
+// A backend server in need gets its requests evenly, and a slot that frees early is still used.
+constexpr double kPaceBurstSeconds = 0.1;
+// A server that states a limit of nothing must get a request at times, or its limit never ends.
+constexpr double kLeastPace = 0.5;
+
 // A wait below the target is normal variation; one above it for the interval, which is two mean
 // service times of the deployments, means that the queue does not shrink.
 constexpr std::chrono::milliseconds kQueueTarget{ 20 };
@@ -103,8 +108,8 @@
   Lane& lane = lanes_[request.priority_];
   ++lane.arrivals_;
   const QueueRank rank{ order_->Rank(request, arrivals_), arrivals_ };
-  const bool runNow =
-    running_.size() < capacity_ && queuedRank_.empty() && !alone_ && !runningAlone_;
+  const bool runNow = running_.size() < capacity_ && queuedRank_.empty() && !alone_ &&
+                      !runningAlone_ && PaceAllowsStart(aNow);
   if (!runNow && queuedRank_.size() >= queueLimit_) {
     return RejectRequest{ id, RefusalReason::QueueFull };
   }
@@ -117,7 +122,7 @@
   if (rate_ && !rate_->Take(aNow)) {
     return RejectRequest{ id, RefusalReason::RateLimited };
   }
-  if (runNow) {
+  if (runNow && TakeStart(aNow)) {
     ++lane.starts_;
     running_.emplace(id, Run{ aNow, request.label_ });
     return RunRequest{ id };
@@ -132,7 +137,8 @@
   if (alone_ || runningAlone_ || (nextAlone_ && aNow < *nextAlone_)) {
     return RejectRequest{ aRequest.id_, RefusalReason::QueueFull };
   }
-  const Duration wait = running_.empty() ? Duration{} : serviceTime_.Mean();
+  const Duration wait =
+    std::max(PaceWait(aNow, 0), running_.empty() ? Duration{} : serviceTime_.Mean());
   if (!MeetsDeadline(aNow, wait, aRequest)) {
     return RejectRequest{ aRequest.id_, RefusalReason::DeadlineTooShort };
   }
@@ -141,7 +147,7 @@
   }
   aloneSince_ = aNow;
   aloneUntil_ = aNow + std::max<Duration>(kMinimumAloneWait, kAloneWaitMeans * serviceTime_.Mean());
-  if (!running_.empty()) {
+  if (!running_.empty() || !TakeStart(aNow)) {
     alone_ = aRequest;
     return QueueRequest{ aRequest.id_, wait };
   }
@@ -189,6 +195,29 @@
   return actions;
 }
 
+std::vector<AdmissionAction> Admission::SetPace(TimePoint aNow, std::optional<double> aPerSecond)
+{
+  if (!aPerSecond) {
+    pace_.reset();
+  } else {
+    const double pace = std::max(kLeastPace, *aPerSecond);
+    const double burst = std::max(1.0, pace * kPaceBurstSeconds);
+    if (pace_) {
+      pace_->Change(pace, burst);
+    } else {
+      pace_.emplace(pace, burst);
+    }
+  }
+  std::vector<AdmissionAction> actions;
+  StartQueued(aNow, actions);
+  return actions;
+}
+
+Duration Admission::PaceWait(TimePoint aNow, std::size_t aAhead) const noexcept
+{
+  return pace_ ? pace_->TimeUntil(aNow, static_cast<double>(aAhead + 1)) : Duration{};
+}
+
 std::vector<AdmissionAction> Admission::StartDraining()
 {
   draining_ = true;
@@ -216,6 +245,9 @@
   if (alone_) {
     earliest = std::min(aloneUntil_, alone_->deadline_ - NeededTime(aNow, alone_->label_));
   }
+  if (pace_) {
+    earliest = std::min(earliest, aNow + PaceWait(aNow, 0));
+  }
   for (const auto& [priority, lane] : lanes_) {
     for (const auto& [rank, request] : lane.queue_) {
       earliest = std::min(earliest, request.deadline_ - NeededTime(aNow, request.label_));
@@ -270,7 +302,7 @@
 Duration Admission::ExpectedWait(TimePoint aNow, std::uint32_t aPriority) const noexcept
 {
   if (running_.size() < capacity_ && Queued() == 0 && !runningAlone_) {
-    return {};
+    return PaceWait(aNow, 0);
   }
   std::size_t ahead = 0;
   std::size_t ownAhead = 0;
@@ -298,8 +330,9 @@
 Duration Admission::WaitBehind(TimePoint aNow, std::size_t aAhead) const noexcept
 {
   const Duration alone = serviceTime_.Mean() * (alone_ ? 2 : runningAlone_ ? 1 : 0);
-  return alone + TimePerRequest(aNow) * static_cast<Duration::rep>(aAhead + 1) /
-                   static_cast<Duration::rep>(capacity_);
+  const Duration slots = TimePerRequest(aNow) * static_cast<Duration::rep>(aAhead + 1) /
+                         static_cast<Duration::rep>(capacity_);
+  return alone + std::max(slots, PaceWait(aNow, aAhead));
 }
 
 Duration Admission::TimePerRequest(TimePoint aNow) const noexcept
@@ -365,7 +398,7 @@
 
 void Admission::StartAlone(TimePoint aNow, std::vector<AdmissionAction>& aActions)
 {
-  if (!alone_ || !running_.empty()) {
+  if (!alone_ || !running_.empty() || !TakeStart(aNow)) {
     return;
   }
   running_.emplace(alone_->id_, Run{ aNow, alone_->label_ });
@@ -405,7 +438,7 @@
   while (running_.size() < capacity_ && Queued() > 0) {
     RejectLate(aNow, aActions);
     StartAlone(aNow, aActions);
-    if (queuedRank_.empty() || alone_ || runningAlone_) {
+    if (queuedRank_.empty() || alone_ || runningAlone_ || !TakeStart(aNow)) {
       return;
     }
     Lane& lane = *NextLane();
--- a/packages/decisions/src/TokenBucket.cpp
+++ b/packages/decisions/src/TokenBucket.cpp
@@ -26,6 +26,14 @@
   return true;
 }
 
+model::Duration TokenBucket::TimeUntil(model::TimePoint aNow, double aTokens) const noexcept
+{
+  const std::chrono::duration<double> elapsed = aNow - filled_.value_or(aNow);
+  const double now = std::min(burst_, tokens_ + std::max(0.0, elapsed.count()) * perSecond_);
+  const std::chrono::duration<double> missing(std::max(0.0, aTokens - now) / perSecond_);
+  return std::chrono::ceil<model::Duration>(missing);
+}
+
 void TokenBucket::Change(double aPerSecond, double aBurst) noexcept
 {
   perSecond_ = aPerSecond;
--- a/packages/model/include/hemlockproxy/model/Number.h
+++ b/packages/model/include/hemlockproxy/model/Number.h
@@ -7,7 +7,7 @@
 
 namespace hemlockproxy::model {
 
-/// Parses a text that is a whole number in range of the type and nothing else; accepts any type
+/// Parses a text that is a decimal number in range of the type and nothing else; accepts any type
 /// with data() and size().
 template <typename Number, typename Text>
 [[nodiscard]] std::optional<Number> ParseNumber(const Text& aText) noexcept
--- a/packages/runtime/include/hemlockproxy/runtime/LogEvent.h
+++ b/packages/runtime/include/hemlockproxy/runtime/LogEvent.h
@@ -26,6 +26,7 @@
   EndpointLeft,
   EndpointWithdrawn,
   WorkDraining,
+  RequestLimit,
   TrafficLate,
   TrafficInTime,
   PeerSilent,
--- a/packages/runtime/include/hemlockproxy/runtime/Metrics.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Metrics.h
@@ -57,6 +57,7 @@
   OwnerQueued,
   OwnerSlots,
   OwnerServiceMicros,
+  OwnerRequestLimit,
   Count,
 };
 
--- a/packages/runtime/src/LogEvent.cpp
+++ b/packages/runtime/src/LogEvent.cpp
@@ -50,6 +50,7 @@
   { LogEvent::EndpointLeft, "members.endpoint-left", LogClass::Change, kDetail },
   { LogEvent::EndpointWithdrawn, "members.endpoint-withdrawn", LogClass::Change, kDetail },
   { LogEvent::WorkDraining, "traffic.draining", LogClass::Change, kDetail },
+  { LogEvent::RequestLimit, "traffic.request-limit", LogClass::Change, kDetail },
   { LogEvent::TrafficLate, "traffic.late", LogClass::Change, kDetail },
   { LogEvent::TrafficInTime, "traffic.in-time", LogClass::Change, kDetail },
   { LogEvent::PeerSilent, "traffic.peer-silent", LogClass::Change, kDetail },
--- a/packages/runtime/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -57,6 +57,9 @@
   { "owner_queued", "Requests that wait for the own backend server." },
   { "owner_slots", "Requests that the own backend server may run at once." },
   { "owner_service_microseconds", "Mean service time of the own backend server." },
+  { "owner_request_limit",
+    "Requests per second that the own backend server says it takes, rounded up; 0 without a "
+    "limit." },
 } };
 
 struct FamilyInfo
