Drain a backend server that says in its responses that it leaves

What backend servers would see: requests after drain_ms although their responses said that they leave, where no report of theirs says so. Cause: nothing read the field. Change: the dialects read the field; BackendRegistry takes it like a report that the present start drains, also from refusals. Conclusion: the owner stops at the first such response, before any entry has to know.

--- a/packages/daemon/include/hemlockproxy/daemon/Upstream.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Upstream.h
@@ -30,6 +30,8 @@
 inline constexpr const char* kClassField = "Hemlock-Class";
 /// The requests per second that a backend server takes from all daemons together; a decimal number.
 inline constexpr const char* kRequestLimitField = "Hemlock-Request-Limit";
+/// Present with the value 1 in the responses of a backend server that leaves.
+inline constexpr const char* kLeavingField = "Hemlock-Leaving";
 inline constexpr const char* kCallerField = "Hemlock-Caller";
 inline constexpr const char* kKeyField = "Idempotency-Key";
 
--- a/packages/daemon/src/HemlockDialect.cpp
+++ b/packages/daemon/src/HemlockDialect.cpp
@@ -36,6 +36,7 @@
   {
     BackendResponse response;
     response.status_.requestLimit_ = ReadRequestLimit(aHeader, kRequestLimitField);
+    response.status_.leaving_ = aHeader[kLeavingField] == "1";
     return response;
   }
 
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -414,6 +414,9 @@
                               const BackendStatus& aStatus,
                               model::TimePoint aSent)
 {
+  if (aStatus.leaving_ && registry_.SaysItLeaves(aBackend.id_, aBackend.startedAt_)) {
+    BackendChanged(runtime::LogEvent::EndpointDraining);
+  }
   const auto now = std::chrono::steady_clock::now();
   const bool limited = limit_.PerSecond().has_value();
   if (!IsCurrent(aBackend) || !limit_.Observe(aSent, now, aStatus.requestLimit_)) {
--- a/packages/decisions/include/hemlockproxy/decisions/BackendRegistry.h
+++ b/packages/decisions/include/hemlockproxy/decisions/BackendRegistry.h
@@ -51,6 +51,9 @@
   ReportUse Report(model::TimePoint aNow, const model::BackendReport& aReport);
   /// The backend server says that it leaves; returns whether it was known as present.
   bool Leave(model::TimePoint aNow, const model::BackendId& aId);
+  /// A backend server said in a response that it leaves; binds like a report that it drains.
+  /// Returns whether that is news of the present start.
+  bool SaysItLeaves(const model::BackendId& aId, model::WallTime aStartedAt);
   /// Forgets a backend server whose reports have stopped; returns whether it did.
   bool Tick(model::TimePoint aNow);
 
--- a/packages/decisions/src/BackendRegistry.cpp
+++ b/packages/decisions/src/BackendRegistry.cpp
@@ -69,6 +69,16 @@
   return true;
 }
 
+bool BackendRegistry::SaysItLeaves(const BackendId& aId, model::WallTime aStartedAt)
+{
+  const bool news = current_ && current_->id_ == aId && current_->startedAt_ == aStartedAt &&
+                    !current_->draining_;
+  if (news) {
+    current_->draining_ = true;
+  }
+  return news;
+}
+
 bool BackendRegistry::Tick(TimePoint aNow)
 {
   if (!current_ || aNow < renewed_ + options_.interval_ * options_.missedReports_) {
--- a/packages/decisions/tests/BackendRegistryTest.cpp
+++ b/packages/decisions/tests/BackendRegistryTest.cpp
@@ -147,3 +147,19 @@
   CHECK_TRUE(registry_.Report(At(2000), Report(0, "")) == ReportUse::Changed);
   CHECK_TRUE(registry_.TakesWork());
 }
+
+// Guards against reports that were sent before the backend server said in a response that it
+// leaves.
+TEST(BackendRegistry, AResponseThatSaysItLeavesBindsTheStart)
+{
+  CHECK_TRUE(registry_.SaysItLeaves(Report(1).id_, Report(1).startedAt_));
+  CHECK_FALSE(registry_.SaysItLeaves(Report(1).id_, Report(1).startedAt_));
+  CHECK_FALSE(registry_.TakesWork());
+  (void)registry_.Report(At(1000), Report(2));
+  CHECK_FALSE(registry_.TakesWork());
+  (void)registry_.Report(At(2000), StartedAt(Report(1), 2000));
+  CHECK_TRUE(registry_.TakesWork());
+  // A late response of the start before says nothing of this one.
+  CHECK_FALSE(registry_.SaysItLeaves(Report(1).id_, Report(1).startedAt_));
+  CHECK_TRUE(registry_.TakesWork());
+}
