Take a rejection without id on a new connection only

What callers would see: 'not run, try again' for a request that its backend server ran, or that request run a second time elsewhere. Cause: a rejection that does not name its request was taken for that of the request in progress, on any connection. With another id it was refused already. Change: on a connection that has carried a request before, a response without the request's id says nothing of it; the outcome is unknown and the connection ends. Figures: daemon.FaultyResponse failed before with not-run for unknown and passes after. Conclusion: backend servers of the platform name the request in their rejections, so that the stricter reading costs nothing that was seen.

--- a/packages/daemon/include/hemlockproxy/daemon/Dialect.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Dialect.h
@@ -62,6 +62,9 @@
 struct BackendResponse
 {
   ResponseMeaning meaning_ = ResponseMeaning::Answer;
+  /// The response carries the id of the request. A rejection that does not is only taken on a new
+  /// connection, where it can belong to no earlier request.
+  bool namesRequest_ = false;
   std::optional<ReportedLoad> load_;
   /// How long the connection stays open without a request; nothing when the server does not say.
   std::optional<std::chrono::milliseconds> keepAlive_;
--- a/packages/daemon/src/HttpUpstream.cpp
+++ b/packages/daemon/src/HttpUpstream.cpp
@@ -207,6 +207,7 @@
     return Refused(RequestOutcome::NotRun, RefusalReason::ConnectFailed);
   }
   HttpConnectionPtr connection = *std::move(acquired);
+  const bool kept = connection->BytesTransferred() > 0;
   if (std::chrono::steady_clock::now() >= aRequest.deadline_) {
     // The wait for the connection took the rest of the time.
     aPool.Release(aAddress, std::move(connection));
@@ -233,7 +234,11 @@
   }
   UpstreamReply reply;
   if (aOptions.dialect_ != nullptr) {
-    const BackendResponse response = aOptions.dialect_->ReadBackendResponse(*header, aRequest.id_);
+    BackendResponse response = aOptions.dialect_->ReadBackendResponse(*header, aRequest.id_);
+    if (kept && !response.namesRequest_ && response.meaning_ != ResponseMeaning::Answer) {
+      // A faulty server may write an earlier rejection once more.
+      response.meaning_ = ResponseMeaning::Foreign;
+    }
     if (response.meaning_ != ResponseMeaning::Answer) {
       if (aRequest.cancel_ != nullptr) {
         aRequest.cancel_->SetAction({});
