Reject requests whose bodies come after the end of admission

Cause: a stopping daemon decided on a request when it had read its head. One whose body came after the notice was passed on all the same, up to the end of the process. Change: entry and owner look again after the wait for the body and reject as leaving, which is true, since nothing was sent on. Figures: the new tests of daemon.EntryService and daemon.OwnerService got 200 for 503 with the check turned off, and pass with it. Requests whose heads come late were rejected before (testing.PlannedStop).

--- a/packages/daemon/include/hemlockproxy/daemon/EntryService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/EntryService.h
@@ -75,6 +75,9 @@
   void Tick();
   /// After this call no running attempt gets a second one beside it; callable from any thread.
   void SetStopping() noexcept { stopping_ = true; }
+  /// After this call requests whose bodies are still awaited are rejected as leaving; callable from
+  /// any thread.
+  void RejectLateBodies() noexcept { rejectsLateBodies_ = true; }
   /// Ends the background work; requests in progress must have ended.
   void Stop() noexcept { keyed_.Stop(); }
 
@@ -155,6 +158,7 @@
   decisions::EntryGate gate_;
   std::unique_ptr<impl::PeerProber> prober_;
   std::atomic<bool> stopping_ = false;
+  std::atomic<bool> rejectsLateBodies_ = false;
   model::TimePoint nextFigures_{};
   /// Attempts that can be repeated elsewhere, by endpoint.
   std::multimap<model::DaemonId, Call*> repeatable_;
--- a/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
@@ -15,6 +15,7 @@
 #include "hemlockproxy/runtime/Metrics.h"
 #include "hemlockproxy/runtime/StructuredLog.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -68,6 +69,10 @@
   /// Handles a request that another daemon forwarded.
   void HandleForwarded(runtime::HttpExchange& aExchange);
 
+  /// After this call forwarded requests whose bodies are still awaited are rejected as leaving;
+  /// callable from any thread.
+  void RejectLateBodies() noexcept { rejectsLateBodies_ = true; }
+
   /// Takes in what another owner found out about suspected requests.
   void MergeQuarantine(const std::vector<decisions::QuarantineRecord>& aRecords);
 
@@ -150,6 +155,7 @@
   decisions::RequestId lastId_;
   std::unordered_map<decisions::RequestId, Waiter*> waiting_;
   bool ticking_ = false;
+  std::atomic<bool> rejectsLateBodies_ = false;
   model::TimePoint nextPoolCheck_{};
   /// Bytes of response bodies being read into memory.
   std::size_t heldBytes_ = 0;
--- a/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
@@ -58,6 +58,12 @@
     if (aState != decisions::DrainState::Serving) {
       entry_.SetStopping();
     }
+    if (!decisions::AcceptsForwards(aState)) {
+      owner_.RejectLateBodies();
+    }
+    if (!decisions::AcceptsCallers(aState)) {
+      entry_.RejectLateBodies();
+    }
   }
   /// Stops both listeners, waits for exchanges in progress up to the limit, and ends the thread.
   void Stop(std::chrono::milliseconds aLimit);
--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -281,6 +281,10 @@
   if (auto read = impl::ReadPrefix(aExchange, aCall.prefix_, kReplayBytes); !read) {
     return Refused(RequestOutcome::NotRun, impl::ReasonOfBody(read.Error()));
   }
+  if (rejectsLateBodies_) {
+    // What is sent on now might be cut at the end of the process.
+    return Refused(RequestOutcome::NotRun, RefusalReason::Leaving);
+  }
   if (aCall.prefix_.size() > aCall.bodyLimit_) {
     return Refused(RequestOutcome::NotRun, RefusalReason::BodyTooLarge);
   }
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -607,6 +607,10 @@
       return;
     }
   }
+  if (rejectsLateBodies_) {
+    impl::SendRefusal(aExchange, Refused(RequestOutcome::NotRun, RefusalReason::Leaving));
+    return;
+  }
   request.body_ = prefix;
   request.rest_ = aExchange.BodyDone() ? nullptr : &aExchange;
   impl::LinkTicket link(*link_);
--- a/packages/daemon/tests/EntryServiceTest.cpp
+++ b/packages/daemon/tests/EntryServiceTest.cpp
@@ -50,6 +50,7 @@
     return runtime::MakeRequest(runtime::http::verb::get, "/", Address());
   }
   void SetStopping() { service_->SetStopping(); }
+  void RejectLateBodies() { service_->RejectLateBodies(); }
 
 private:
   static constexpr milliseconds kTick{ 10 };
@@ -146,3 +147,19 @@
     LONGS_EQUAL(200, StatusOf(*aIo, entry.Address(), known));
   });
 }
+
+// Guards against a request that is passed on late in a planned stop and cut at its end.
+TEST(EntryService, ForwardsNoRequestWhoseBodyComesAfterTheEndOfAdmission)
+{
+  runtime::RunInLoop([](const runtime::IoContextPtr& aIo) {
+    CountingServer owner(aIo);
+    Entry entry(aIo, { owner.Address() });
+    const auto before = SendHead(*aIo, entry.Address(), entry.Request());
+    LONGS_EQUAL(200, FinishRequest(*before));
+    const auto late = SendHead(*aIo, entry.Address(), entry.Request());
+    boost::this_fiber::sleep_for(kSettle);
+    entry.RejectLateBodies();
+    LONGS_EQUAL(503, FinishRequest(*late));
+    LONGS_EQUAL(1, owner.Requests());
+  });
+}
--- a/packages/daemon/tests/OwnerServiceTest.cpp
+++ b/packages/daemon/tests/OwnerServiceTest.cpp
@@ -81,3 +81,19 @@
     CHECK_TRUE(std::chrono::steady_clock::now() - started >= kLeast);
   });
 }
+
+// Guards against a request that is passed on late in a planned stop and cut at its end.
+TEST(OwnerService, RunsNoRequestWhoseBodyComesAfterTheEndOfAdmission)
+{
+  runtime::RunInLoop([](const runtime::IoContextPtr& aIo) {
+    CountingServer backend(aIo);
+    Owner owner(aIo, backend.Address());
+    const auto before = SendHead(*aIo, owner.Address(), ForwardedRequest(owner.Address()));
+    LONGS_EQUAL(200, FinishRequest(*before));
+    const auto late = SendHead(*aIo, owner.Address(), ForwardedRequest(owner.Address()));
+    boost::this_fiber::sleep_for(kSettle);
+    owner.Service().RejectLateBodies();
+    LONGS_EQUAL(503, FinishRequest(*late));
+    LONGS_EQUAL(1, backend.Requests());
+  });
+}
--- a/packages/daemon/tests/TrafficFixture.h
+++ b/packages/daemon/tests/TrafficFixture.h
@@ -211,6 +211,27 @@
   return header ? header->result_int() : 0;
 }
 
+/// Sends the head of a request whose body is to follow.
+inline runtime::HttpConnectionPtr SendHead(runtime::IoContext& aIo,
+                                           const model::Address& aAddress,
+                                           runtime::RequestHeader aHeader)
+{
+  auto connection = *runtime::HttpConnection::Connect(aIo, aAddress, kExchangeTimeout);
+  aHeader.method(runtime::http::verb::post);
+  aHeader.set(runtime::http::field::transfer_encoding, "chunked");
+  (void)connection->SendHeader(std::move(aHeader), kExchangeTimeout);
+  return connection;
+}
+
+/// Sends the body of a request and returns the status of its response.
+inline unsigned FinishRequest(runtime::HttpConnection& aConnection)
+{
+  (void)aConnection.SendBody("body", kExchangeTimeout);
+  (void)aConnection.FinishBody(kExchangeTimeout);
+  const auto header = aConnection.ReadHeader(kExchangeTimeout);
+  return header ? header->result_int() : 0;
+}
+
 /// Sends a request whose caller leaves before the server reads it: the loop stands still meanwhile.
 inline void SendAndLeave(const model::Address& aAddress, const runtime::RequestHeader& aHeader)
 {
--- a/packages/decisions/src/BackendRegistry.cpp
+++ b/packages/decisions/src/BackendRegistry.cpp
@@ -71,8 +71,8 @@
 
 bool BackendRegistry::SaysItLeaves(const BackendId& aId, model::WallTime aStartedAt)
 {
-  const bool news = current_ && current_->id_ == aId && current_->startedAt_ == aStartedAt &&
-                    !current_->draining_;
+  const bool news =
+    current_ && current_->id_ == aId && current_->startedAt_ == aStartedAt && !current_->draining_;
   if (news) {
     current_->draining_ = true;
   }
