Test that members on time do not depend on the other log readers

Change: LogTakeoverStorm publishes a version each 250 ms for 60 s while members of a domain stand still, are killed, start and lose the log at random; every member that has run and reached the log for 3 s enforces what was written 2 s ago.

--- a/packages/decisions/tests/LogTakeoverTest.cpp
+++ b/packages/decisions/tests/LogTakeoverTest.cpp
@@ -48,6 +48,49 @@
 
 TEST_GROUP_BASE(LogTakeoverReaders, LogTakeoverScenario){};
 
+/// Versions follow each other while members stand still, restart and lose the log.
+TEST_GROUP_BASE(LogTakeoverStorm, LogTakeoverScenario)
+{
+  /// A member that ran and reached the log for this long has to be on time.
+  static constexpr auto kStable = 3000ms;
+  static constexpr auto kGap = 250ms;
+
+  void Disturb(model::RandomSource & aRandom)
+  {
+    const std::size_t node = aRandom() % mesh_->Size();
+    Mesh::Node& at = mesh_->At(node);
+    at.since_ = mesh_->Now();
+    switch (aRandom() % 3) {
+      case 0:
+        at.paused_ ? mesh_->Resume(node) : mesh_->Pause(node);
+        break;
+      case 1:
+        if (mesh_->Up(node)) {
+          mesh_->Kill(node);
+        } else {
+          mesh_->Start(node);
+        }
+        break;
+      default:
+        at.logCut_ = !at.logCut_;
+        break;
+    }
+  }
+  void CheckOnTime(const std::map<model::TimePoint, ConfigVersion>& aPublished)
+  {
+    const auto due = aPublished.upper_bound(mesh_->Now() - kApplyWithin);
+    if (due == aPublished.begin()) {
+      return;
+    }
+    for (std::size_t i = 0; i < mesh_->Size(); ++i) {
+      const Mesh::Node& node = mesh_->At(i);
+      if (mesh_->Up(i) && !node.paused_ && !node.logCut_ && mesh_->Now() - node.since_ >= kStable) {
+        CHECK_TRUE(mesh_->Enforced(i) >= std::prev(due)->second);
+      }
+    }
+  }
+};
+
 // Guards against a domain that follows no new version while its log readers stand still.
 TEST(LogTakeoverReaders, SilentReadersAreReplacedBeforeAVersionIsDue)
 {
@@ -176,3 +219,21 @@
     CHECK_TRUE(now_ - started < kApplyWithin);
   }
 }
+
+// Guards against any member that runs and reaches the log, and still enforces an old version.
+TEST(LogTakeoverStorm, MembersThatReachTheLogAreOnTimeWhateverTheOthersDo)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Run(5, seed);
+    model::RandomSource random(seed);
+    std::map<model::TimePoint, ConfigVersion> published;
+    for (const auto end = mesh_->Now() + 60s; mesh_->Now() < end;) {
+      published[mesh_->Now()] = mesh_->Publish();
+      if (random() % 4 == 0) {
+        Disturb(random);
+      }
+      mesh_->RunFor(kGap);
+      CheckOnTime(published);
+    }
+  }
+}
