Pass the log readers' reports on to members without a rank

What callers would see: 503 configuration-outdated instead of 404 for unknown routes, for ever, at members beyond rank 16 of a large failure domain. Cause: reports went to the first 16 members only, so that the others never learned that their version is the newest one. Change: the 16 ranked members pass each report on to the rest, two of them to each member; a report per half interval. Conclusion: who may take over stays bounded, what is known does not.

--- a/packages/decisions/include/hemlockproxy/decisions/Distribution.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Distribution.h
@@ -59,7 +59,8 @@
   std::chrono::milliseconds takeoverStep_{ 400 };
   /// A log that was last read to its end longer ago counts as lost.
   std::chrono::milliseconds logLost_{ 6000 };
-  /// Members in order of rank that get reports and may replace a log reader.
+  /// Members in order of rank that get reports from the readers themselves and may replace one;
+  /// they pass the reports on to the others.
   std::size_t reportedTo_ = 16;
 
   /// The time for which the log retains records.
--- a/packages/decisions/src/impl/DistributionEngine.h
+++ b/packages/decisions/src/impl/DistributionEngine.h
@@ -84,6 +84,7 @@
   void UpdateRole();
   void TickReport();
   void SendReports(std::optional<model::Duration> aAge);
+  void PassOn(const LogReport& aReport);
   /// Takes in that the log held nothing newer than a version at a time.
   void NoteNewest(const Newest& aNewest);
   void UpdateCurrentAsOf();
@@ -128,6 +129,7 @@
   /// When the log was last read to its end; nothing while it cannot be read.
   std::optional<model::TimePoint> tailAsOf_;
   model::TimePoint nextReport_;
+  model::TimePoint nextPassOn_;
   /// The newest version of the log as far as known.
   Newest newest_;
   std::optional<model::TimePoint> currentAsOf_;
--- a/packages/decisions/src/impl/DistributionLog.cpp
+++ b/packages/decisions/src/impl/DistributionLog.cpp
@@ -47,6 +47,18 @@
   }
 }
 
+void DistributionEngine::PassOn(const LogReport& aReport)
+{
+  // One of the readers' reports per interval is enough.
+  if (now_ < nextPassOn_) {
+    return;
+  }
+  nextPassOn_ = now_ + options_.reportInterval_ / 2;
+  for (const model::DaemonId& id : roster_.Followers()) {
+    out_.emplace_back(SendLogReport{ id, aReport });
+  }
+}
+
 void DistributionEngine::NoteNewest(const Newest& aNewest)
 {
   if (aNewest.asOf_ >= newest_.asOf_ && aNewest.version_ >= newest_.version_) {
@@ -114,6 +126,7 @@
   Want(report.from_, report.version_, options_.repairDelay_);
   if (report.age_) {
     NoteNewest({ report.version_, now_ - *report.age_ });
+    PassOn(report);
   }
   UpdateRole();
   TryEnforce();
--- a/packages/decisions/src/impl/ReaderRoster.cpp
+++ b/packages/decisions/src/impl/ReaderRoster.cpp
@@ -17,6 +17,22 @@
   for (const model::DaemonId& id : ranking_) {
     readers_.try_emplace(id, Reader{ aNow + options_.takeover_, false });
   }
+  AssignFollowers(aMembers);
+}
+
+void ReaderRoster::AssignFollowers(const std::vector<model::DaemonId>& aMembers)
+{
+  followers_.clear();
+  const std::size_t ranks = ranking_.size();
+  std::size_t place = 0;
+  for (const model::DaemonId& id : aMembers) {
+    if (std::find(ranking_.begin(), ranking_.end(), id) == ranking_.end()) {
+      if (place % ranks == rank_ || (place + ranks / 2) % ranks == rank_) {
+        followers_.push_back(id);
+      }
+      ++place;
+    }
+  }
 }
 
 void ReaderRoster::Reported(model::TimePoint aNow, const model::DaemonId& aId, bool aReads)
@@ -47,6 +63,7 @@
 {
   std::vector<model::DaemonId> receivers = ranking_;
   std::erase(receivers, options_.id_);
+  receivers.insert(receivers.end(), followers_.begin(), followers_.end());
   return receivers;
 }
 
--- a/packages/decisions/src/impl/ReaderRoster.h
+++ b/packages/decisions/src/impl/ReaderRoster.h
@@ -30,8 +30,14 @@
   [[nodiscard]] bool ShouldRead(model::TimePoint aNow, bool aReading) const;
   /// Returns the place of this daemon in the ranking; the ranking's length when it has none.
   [[nodiscard]] std::size_t Rank() const noexcept { return rank_; }
-  /// Returns the members that reports are sent to.
+  /// Returns the members that the reports of this daemon are sent to.
   [[nodiscard]] std::vector<model::DaemonId> Receivers() const;
+  /// Returns the members without a rank to which this daemon passes on the reports of others. Each
+  /// of them is served by two members, since one may stand still.
+  [[nodiscard]] const std::vector<model::DaemonId>& Followers() const noexcept
+  {
+    return followers_;
+  }
 
 private:
   struct Reader
@@ -41,9 +47,12 @@
     bool reported_ = false;
   };
 
+  void AssignFollowers(const std::vector<model::DaemonId>& aMembers);
+
   const DistributionOptions& options_;
   std::vector<model::DaemonId> ranking_;
   std::size_t rank_ = 0;
+  std::vector<model::DaemonId> followers_;
   std::map<model::DaemonId, Reader> readers_;
 };
 
--- a/packages/decisions/tests/LogTakeoverTest.cpp
+++ b/packages/decisions/tests/LogTakeoverTest.cpp
@@ -48,6 +48,22 @@
 
 TEST_GROUP_BASE(LogTakeoverReaders, LogTakeoverScenario){};
 
+// Guards against members of a large domain that never learn that their version is the newest one.
+TEST(LogTakeoverReaders, AllMembersOfALargeDomainKnowThatTheirVersionIsCurrent)
+{
+  constexpr std::size_t kMembers = 60;
+  Run(kMembers, 1);
+  mesh_->Pause(Readers().front());
+  mesh_->RunFor(kApplyWithin);
+  for (int round = 0; round < 20; ++round) {
+    for (std::size_t i = 0; i < kMembers; ++i) {
+      const auto current = mesh_->At(i).distribution_->CurrentAsOf();
+      CHECK_TRUE(mesh_->At(i).paused_ || (current && mesh_->Now() - *current < kApplyWithin));
+    }
+    mesh_->RunFor(200ms);
+  }
+}
+
 /// Versions follow each other while members stand still, restart and lose the log.
 TEST_GROUP_BASE(LogTakeoverStorm, LogTakeoverScenario)
 {
