--- a/packages/daemon/tests/BackendRateTest.cpp
+++ b/packages/daemon/tests/BackendRateTest.cpp
@@ -25,6 +25,7 @@
     const Owner owner(aIo, backend.Address());
     const auto end = std::chrono::steady_clock::now() + kTime;
     std::vector<boost::fibers::fiber> callers;
+    callers.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) {
       callers.emplace_back([&] {
         while (std::chrono::steady_clock::now() < end) {
--- a/packages/decisions/tests/AcknowledgementLimitTest.cpp
+++ b/packages/decisions/tests/AcknowledgementLimitTest.cpp
@@ -36,7 +36,7 @@
     configuration->version_ = ConfigVersion(aVersion);
     Handle(LogVersionAccepted{ std::move(configuration), nullptr });
   }
-  std::uint64_t Enforced() const
+  [[nodiscard]] std::uint64_t Enforced() const
   {
     return distribution_->Enforced() ? distribution_->Enforced()->version_.Value() : 0;
   }
