--- a/packages/daemon/include/hemlockproxy/daemon/OperatorConfigSource.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OperatorConfigSource.h
@@ -62,7 +62,7 @@
   decltype(Adapters::decodeConfiguration_) decode_;
   runtime::EventRing& events_;
   ReadPace pace_;
-  TailTime read_;
+  TailTime tailTime_;
   /// Whether next_ is known; if not, the newest record of each key is read.
   bool positioned_ = false;
   model::LogOffset next_;
--- a/packages/daemon/include/hemlockproxy/daemon/PublishedConfigSource.h
+++ b/packages/daemon/include/hemlockproxy/daemon/PublishedConfigSource.h
@@ -60,7 +60,7 @@
   runtime::EventRing& events_;
   decisions::ConfigReplay replay_;
   ReadPace pace_;
-  TailTime read_;
+  TailTime tailTime_;
   model::ConfigVersion reported_;
 };
 
--- a/packages/daemon/src/OperatorConfigSource.cpp
+++ b/packages/daemon/src/OperatorConfigSource.cpp
@@ -33,14 +33,14 @@
     return std::nullopt;
   }
   if (!positioned_) {
-    read_.Begin(aNow, {});
+    tailTime_.Begin(aNow, {});
     return LogCommand(LogNewestCommand{ options_.ticket_, kStream });
   }
   // The first read after a failure returns at once, so that a recovered log is noticed without
   // waiting for a record.
-  const auto wait =
-    pace_.LogAvailable() ? read_.WaitUntilAge(aNow, options_.wait_) : std::chrono::milliseconds(0);
-  read_.Begin(aNow, wait);
+  const auto wait = pace_.LogAvailable() ? tailTime_.WaitUntilAge(aNow, options_.wait_)
+                                         : std::chrono::milliseconds(0);
+  tailTime_.Begin(aNow, wait);
   return LogCommand(LogReadCommand{ options_.ticket_, kStream, next_, wait, kBatchRecords });
 }
 
@@ -81,7 +81,7 @@
     out.emplace_back(decisions::LogVersionAccepted{ newest_, nullptr });
   }
   if (atEnd && newest_) {
-    out.emplace_back(decisions::LogTailReached{ read_.End(aNow, aResult->records_.empty()) });
+    out.emplace_back(decisions::LogTailReached{ tailTime_.End(aNow, aResult->records_.empty()) });
     pace_.TailReached();
   }
   return out;
--- a/packages/daemon/src/PublishedConfigSource.cpp
+++ b/packages/daemon/src/PublishedConfigSource.cpp
@@ -65,8 +65,8 @@
   // The first read after a failure returns at once, so that a recovered log is noticed without
   // waiting for a record.
   const bool waits = pace_.IsContinuous() && pace_.LogAvailable();
-  const auto wait = waits ? read_.WaitUntilAge(aNow, wait_) : std::chrono::milliseconds(0);
-  read_.Begin(aNow, wait);
+  const auto wait = waits ? tailTime_.WaitUntilAge(aNow, wait_) : std::chrono::milliseconds(0);
+  tailTime_.Begin(aNow, wait);
   return LogReadCommand{ ticket_, kStream, replay_.NextOffset(), wait, kBatchRecords };
 }
 
@@ -106,7 +106,7 @@
   replay_.ObserveTail(aBatch.next_);
   ReportVersion(aEvents);
   if (replay_.NextOffset() >= aBatch.next_ && !replay_.IsHistoryMissing()) {
-    aEvents.emplace_back(decisions::LogTailReached{ read_.End(aNow, aBatch.records_.empty()) });
+    aEvents.emplace_back(decisions::LogTailReached{ tailTime_.End(aNow, aBatch.records_.empty()) });
     pace_.TailReached();
   }
 }
--- a/packages/decisions/include/hemlockproxy/decisions/TokenBucket.h
+++ b/packages/decisions/include/hemlockproxy/decisions/TokenBucket.h
@@ -15,8 +15,8 @@
 
   /// Takes one token; returns false if there is none.
   [[nodiscard]] bool Take(model::TimePoint aNow) noexcept;
-  /// Returns after which time there will be this many tokens, those that would then have been taken
-  /// included.
+  /// Returns the time until this many tokens will have come in, those that are there now included;
+  /// aTokens may exceed the burst.
   [[nodiscard]] model::Duration TimeUntil(model::TimePoint aNow, double aTokens) const noexcept;
   /// Changes rate and burst, and keeps the tokens that fit.
   void Change(double aPerSecond, double aBurst) noexcept;
--- a/packages/decisions/src/impl/DistributionEngine.h
+++ b/packages/decisions/src/impl/DistributionEngine.h
@@ -83,10 +83,13 @@
   // Log.
   void UpdateRole();
   void TickReport();
+  /// Reports the age of the last read of the log's end; nothing means that the log cannot be read.
   void SendReports(std::optional<model::Duration> aAge);
+  /// Sends a report to the members that get none from the readers themselves.
   void PassOn(const LogReport& aReport);
   /// Takes in that the log held nothing newer than a version at a time.
   void NoteNewest(const Newest& aNewest);
+  /// Takes the time of the newest version over if that version or a higher one is in force.
   void UpdateCurrentAsOf();
   void TickLog();
   void TickCheckpoint();
