--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -11,8 +11,6 @@
 #include <boost/fiber/future/promise.hpp>
 #include <boost/fiber/operations.hpp>
 
-#include <cmath>
-
 namespace hemlockproxy::daemon {
 
 using decisions::FinishKind;
@@ -179,54 +177,6 @@
                  std::chrono::duration_cast<std::chrono::microseconds>(mean).count()));
 }
 
-void OwnerService::Report(const model::BackendReport& aReport)
-{
-  const bool drained = registry_.Current() && registry_.Current()->draining_;
-  const bool sameStart = IsCurrent(aReport);
-  if (registry_.Report(std::chrono::steady_clock::now(), aReport) ==
-      decisions::ReportUse::Changed) {
-    if (!sameStart && limit_.PerSecond()) {
-      limit_ = {};
-      ApplyRequestLimit(std::chrono::steady_clock::now());
-    }
-    BackendChanged(!drained && registry_.Current()->draining_
-                     ? runtime::LogEvent::EndpointDraining
-                     : runtime::LogEvent::EndpointAnnounced);
-  }
-}
-
-void OwnerService::BackendLeaves(const model::BackendId& aId)
-{
-  if (registry_.Leave(std::chrono::steady_clock::now(), aId)) {
-    BackendChanged(runtime::LogEvent::EndpointLeft);
-  }
-}
-
-void OwnerService::BackendChanged(runtime::LogEvent aEvent)
-{
-  const auto& backend = registry_.Current();
-  events_.Add(aEvent,
-              backend ? backend->service_.Value() + " at " + ToString(backend->address_)
-                      : service_.Value());
-  ApplyState();
-  onEndpoint_(CurrentEndpoint());
-}
-
-std::optional<model::Endpoint> OwnerService::CurrentEndpoint() const
-{
-  const auto& backend = registry_.Current();
-  if (!backend) {
-    return std::nullopt;
-  }
-  model::Endpoint endpoint;
-  endpoint.service_ = backend->service_;
-  endpoint.slots_ = backend->slots_;
-  endpoint.connections_ = std::max<std::uint32_t>(1, backend->connections_);
-  endpoint.draining_ = backend->draining_;
-  endpoint.id_ = backend->id_;
-  return endpoint;
-}
-
 void OwnerService::Refresh(const TrafficViewPtr& aView)
 {
   if (aView == seen_) {
@@ -410,41 +360,6 @@
   return HoldBody(aId, aBackend, aRequest, std::move(reply));
 }
 
-void OwnerService::NoteStatus(const model::BackendReport& aBackend,
-                              const BackendStatus& aStatus,
-                              model::TimePoint aSent)
-{
-  if (aStatus.leaving_ && registry_.SaysItLeaves(aBackend.id_, aBackend.startedAt_)) {
-    BackendChanged(runtime::LogEvent::EndpointDraining);
-  }
-  const auto now = std::chrono::steady_clock::now();
-  const bool limited = limit_.PerSecond().has_value();
-  if (!IsCurrent(aBackend) || !limit_.Observe(aSent, now, aStatus.requestLimit_)) {
-    return;
-  }
-  if (limited != limit_.PerSecond().has_value()) {
-    events_.Add(runtime::LogEvent::RequestLimit,
-                limited ? "none" : std::to_string(*limit_.PerSecond()) + " requests per second");
-  }
-  ApplyRequestLimit(now);
-}
-
-void OwnerService::ApplyRequestLimit(model::TimePoint aNow)
-{
-  const auto perSecond = limit_.PerSecond();
-  metrics_.Set(runtime::Gauge::OwnerRequestLimit,
-               static_cast<std::uint64_t>(std::ceil(perSecond.value_or(0))));
-  if (admission_) {
-    Dispatch(admission_->SetPace(aNow, perSecond));
-  }
-}
-
-bool OwnerService::IsCurrent(const model::BackendReport& aBackend) const
-{
-  const auto& current = registry_.Current();
-  return current && current->id_ == aBackend.id_ && current->startedAt_ == aBackend.startedAt_;
-}
-
 UpstreamReply OwnerService::HoldBody(RequestId aId,
                                      const model::BackendReport& aBackend,
                                      UpstreamRequest& aRequest,
