--- a/packages/decisions/include/hemlockproxy/decisions/DistributionMessages.h
+++ b/packages/decisions/include/hemlockproxy/decisions/DistributionMessages.h
@@ -31,8 +31,8 @@
   model::ConfigVersion version_;
 };
 
-/// Tells the own failure domain whether a log reader can read the log; sent at an interval, and when
-/// it loses the log.
+/// Tells the own failure domain whether a log reader can read the log; sent at an interval, and
+/// when it loses the log.
 struct LogReport
 {
   model::DaemonId from_;
