Read the log as soon as a chosen daemon becomes ready

Cause: the role of log reader was worked out in each tick only, and a daemon reads only once it is ready. Change: the role follows in the event that makes the daemon ready. Evidence: DistributionEnforcement.ADaemonThatBecomesReadyReadsTheLogAtOnce, 0 StartReading before and 1 after.

--- a/packages/decisions/src/impl/DistributionEngine.cpp
+++ b/packages/decisions/src/impl/DistributionEngine.cpp
@@ -156,6 +156,8 @@
   if (!ready_) {
     ready_ = true;
     out_.emplace_back(BecomeReady{});
+    // A domain whose members have all just become ready would have no log reader until they tick.
+    UpdateRole();
   }
 }
 
--- a/packages/decisions/tests/DistributionTest.cpp
+++ b/packages/decisions/tests/DistributionTest.cpp
@@ -173,6 +173,17 @@
   LONGS_EQUAL(1, Count<EnforceVersion>(NoticeAckReceived{ { Id(2), ConfigVersion(1) } }));
 }
 
+// Guards against a failure domain in which nobody reads the log for a while after its start.
+TEST(DistributionEnforcement, ADaemonThatBecomesReadyReadsTheLogAtOnce)
+{
+  (void)Count<EnforceVersion>(PeersChanged{ { { Id(1) }, {} } });
+  LONGS_EQUAL(0, Count<StartReading>(LogVersionAccepted{ Config(1), nullptr }));
+  CHECK_FALSE(distribution_->Ready());
+  LONGS_EQUAL(1, Count<StartReading>(LogTailReached{}));
+  CHECK_TRUE(distribution_->Ready());
+  CHECK_TRUE(distribution_->IsLogReader());
+}
+
 // Guards against a daemon that waits for ever for peers that have all died.
 TEST(DistributionEnforcement, WithoutLivePeersNoAcknowledgementIsNeeded)
 {
