--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <charconv>
 #include <fstream>
+#include <limits>
 #include <optional>
 #include <set>
 #include <sstream>
@@ -247,9 +248,14 @@
 
 void SettingsParser::SetRetryExtra(const YAML::Node& aValue)
 {
-  if (!YAML::convert<std::uint32_t>::decode(aValue, settings_.retryExtra_)) {
-    Add(aValue.Mark(), "found '" + Text(aValue) + "'; expected a whole number of at least 0");
+  constexpr double kMost = std::numeric_limits<std::uint32_t>::max();
+  double extra = 0;
+  if (!YAML::convert<double>::decode(aValue, extra) || !(extra >= 0 && extra <= kMost)) {
+    Add(aValue.Mark(), "found '" + Text(aValue) + "'; expected a number from 0 to 4294967295");
+    return;
   }
+  // A budget that is computed may be a fraction; no part of a retry is left over.
+  settings_.retryExtra_ = static_cast<std::uint32_t>(extra);
 }
 
 void SettingsParser::SetLinkRate(const YAML::Node& aValue)
--- a/packages/model/src/Duration.cpp
+++ b/packages/model/src/Duration.cpp
@@ -26,7 +26,7 @@
 {
   double count = 0;
   const auto [end, failure] =
-    std::from_chars(aText.data(), aText.data() + aText.size(), count, std::chars_format::fixed);
+    std::from_chars(aText.data(), aText.data() + aText.size(), count, std::chars_format::general);
   if (failure != std::errc() || !(count >= 0)) {
     return std::nullopt;
   }
