Bound what decoders take from malformed messages

A report of a service that the configuration does not list does not displace the current backend server. A handler that throws ends its request; the state machines of the control thread end the process loudly.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: deps build test check format tidy demo bench capacity fuzz clean
+.PHONY: deps build test check format tidy demo bench capacity fuzz fuzz-sanitized clean
 
 deps:
 	@scripts/install-deps
@@ -38,8 +38,19 @@
 FUZZ_SIZE ?= 200
 fuzz: build
 	@seed=$(SEED); echo "fuzz: seed=$$seed max_success=$(FUZZ_RUNS) max_size=$(FUZZ_SIZE)"; \
-	RC_PARAMS="seed=$$seed max_success=$(FUZZ_RUNS) max_size=$(FUZZ_SIZE)" \
-	  $(BUILD)/bin/hemlock_decisions_tests -g Fuzz
+	for package in decisions wire platform; do \
+	  RC_PARAMS="seed=$$seed max_success=$(FUZZ_RUNS) max_size=$(FUZZ_SIZE)" \
+	    $(BUILD)/bin/hemlock_$${package}_tests -g Fuzz || exit 1; \
+	done
+
+# The same for the decoders, under AddressSanitizer and UndefinedBehaviorSanitizer.
+fuzz-sanitized: deps
+	@cmake -S . -B $(BUILD)-sanitized -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DHEMLOCK_SANITIZE=ON
+	@cmake --build $(BUILD)-sanitized -j $(JOBS) --target hemlock_wire_tests hemlock_platform_tests
+	@for package in wire platform; do \
+	  RC_PARAMS="seed=$(SEED) max_success=$(FUZZ_RUNS) max_size=$(FUZZ_SIZE)" \
+	    $(BUILD)-sanitized/bin/hemlock_$${package}_tests -g Fuzz || exit 1; \
+	done
 
 clean:
 	@rm -rf $(BUILD)
--- a/packages/daemon/include/hemlockproxy/daemon/Adapters.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Adapters.h
@@ -19,8 +19,9 @@
 public:
   virtual ~BackendDesk() = default;
 
-  /// Takes in a report; when it returns, its effect on new work is in force.
-  virtual void Report(const model::BackendReport& aReport) = 0;
+  /// Takes in a report; when it returns true, its effect on new work is in force. Returns false and
+  /// changes nothing when the report is not one of a service that the configuration lists.
+  [[nodiscard]] virtual bool Report(const model::BackendReport& aReport) = 0;
   /// The backend server leaves; when it returns, it gets no new work.
   virtual void Leave(const model::BackendId& aId) = 0;
   /// Returns whether callers may be sent to this daemon.
--- a/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
@@ -109,9 +109,12 @@
   [[nodiscard]] std::optional<std::string> OnFetch(const std::string& aBody);
   [[nodiscard]] std::optional<std::string> OnQuarantineReport(const std::string& aBody);
 
-  /// Handles an event and executes its actions; returns the reply among them, if any.
-  std::optional<decisions::SyncResponse> Membership(const decisions::MembershipEvent& aEvent);
-  std::optional<decisions::FetchResponse> Distribution(const decisions::DistributionEvent& aEvent);
+  /// Handles an event and executes its actions; returns the reply among them, if any. An exception
+  /// would leave the state between two events, so that it ends the process.
+  std::optional<decisions::SyncResponse> Membership(
+    const decisions::MembershipEvent& aEvent) noexcept;
+  std::optional<decisions::FetchResponse> Distribution(
+    const decisions::DistributionEvent& aEvent) noexcept;
 
   void Do(const decisions::SendDatagram& aAction);
   void Do(const decisions::SendSync& aAction);
--- a/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
@@ -77,8 +77,9 @@
   void MergeQuarantine(const std::vector<decisions::QuarantineRecord>& aRecords);
 
   /// Takes in a report of the backend server of this instance; its effect on new work is in force
-  /// when it returns.
-  void Report(const model::BackendReport& aReport);
+  /// when it returns. Returns false and changes nothing when the report would put a backend server
+  /// of a service that the configuration does not list in the place of the current one.
+  bool Report(const model::BackendReport& aReport);
   /// The backend server leaves and gets no new work.
   void BackendLeaves(const model::BackendId& aId);
 
--- a/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
@@ -81,7 +81,7 @@
                 OwnerService::TellPeers aTellPeers,
                 OwnerService::OnEndpoint aOnEndpoint);
 
-  void Report(const model::BackendReport& aReport) override { owner_.Report(aReport); }
+  bool Report(const model::BackendReport& aReport) override { return owner_.Report(aReport); }
   void Leave(const model::BackendId& aId) override { owner_.BackendLeaves(aId); }
   [[nodiscard]] bool Ready() const override;
 
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -371,7 +371,7 @@
 }
 
 std::optional<decisions::SyncResponse> ControlThread::Membership(
-  const decisions::MembershipEvent& aEvent)
+  const decisions::MembershipEvent& aEvent) noexcept
 {
   std::optional<decisions::SyncResponse> reply;
   for (auto& action : membership_.Handle(aEvent, Now(), random_)) {
@@ -391,7 +391,7 @@
 }
 
 std::optional<decisions::FetchResponse> ControlThread::Distribution(
-  const decisions::DistributionEvent& aEvent)
+  const decisions::DistributionEvent& aEvent) noexcept
 {
   std::optional<decisions::FetchResponse> reply;
   for (auto& action : distribution_.Handle(aEvent, Now(), random_)) {
--- a/packages/daemon/src/ControlTransport.cpp
+++ b/packages/daemon/src/ControlTransport.cpp
@@ -30,8 +30,10 @@
     return udp.Error();
   }
   transport->udp_ = *std::move(udp);
+  runtime::HttpServerOptions options;
+  options.metrics_ = &aMetrics;
   auto server = runtime::HttpServer::Create(
-    aIo, aAddress, {}, [raw = transport.get()](runtime::HttpExchange& aExchange) {
+    aIo, aAddress, options, [raw = transport.get()](runtime::HttpExchange& aExchange) {
       raw->HandleCall(aExchange);
     });
   if (!server) {
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -249,8 +249,10 @@
     return (*traffic)->Announce(std::move(aReport));
   };
   auto io = std::make_shared<runtime::IoContext>(1);
+  runtime::HttpServerOptions options;
+  options.metrics_ = &metrics;
   auto admin = runtime::HttpServer::Create(
-    io, aSettings.admin_, {}, [&ports](runtime::HttpExchange& aExchange) {
+    io, aSettings.admin_, options, [&ports](runtime::HttpExchange& aExchange) {
       HandleAdmin(ports, aExchange);
     });
   if (!admin) {
@@ -259,7 +261,7 @@
   std::unique_ptr<runtime::HttpServer> metricsServer;
   if (!aSettings.metrics_.ip_.empty()) {
     auto created = runtime::HttpServer::Create(
-      io, aSettings.metrics_, {}, [&ports](runtime::HttpExchange& aExchange) {
+      io, aSettings.metrics_, options, [&ports](runtime::HttpExchange& aExchange) {
         HandleMetricsPort(ports, aExchange);
       });
     if (!created) {
--- a/packages/daemon/src/OwnerBackend.cpp
+++ b/packages/daemon/src/OwnerBackend.cpp
@@ -7,8 +7,18 @@
 
 namespace hemlockproxy::daemon {
 
-void OwnerService::Report(const model::BackendReport& aReport)
+bool OwnerService::Report(const model::BackendReport& aReport)
 {
+  // The current backend server goes on although its service has just been removed, and one that
+  // only says that it leaves is told that it was heard.
+  const auto routes = views_.Load()->routes_;
+  const bool displaces = !IsCurrent(aReport) && (!aReport.draining_ || registry_.Current());
+  if (routes && !routes->Configuration().content_.contains(aReport.service_) && displaces) {
+    events_.Add(runtime::LogEvent::EndpointRejected,
+                aReport.id_.Value() + ": the configuration has no service '" +
+                  aReport.service_.Value() + "'");
+    return false;
+  }
   const bool drained = registry_.Current() && registry_.Current()->draining_;
   const bool sameStart = IsCurrent(aReport);
   if (registry_.Report(std::chrono::steady_clock::now(), aReport) ==
@@ -21,6 +31,7 @@
                      ? runtime::LogEvent::EndpointDraining
                      : runtime::LogEvent::EndpointAnnounced);
   }
+  return true;
 }
 
 void OwnerService::BackendLeaves(const model::BackendId& aId)
--- a/packages/daemon/src/PlatformThread.cpp
+++ b/packages/daemon/src/PlatformThread.cpp
@@ -95,6 +95,9 @@
 void PlatformThread::Complete(LogReadResult aResult)
 {
   metrics_.Add(aResult.result_ ? runtime::Counter::LogReads : runtime::Counter::LogErrors);
+  if (aResult.result_) {
+    metrics_.Add(runtime::Counter::LogRecordsSkipped, aResult.result_->skipped_);
+  }
   complete_(std::move(aResult));
 }
 
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -110,6 +110,7 @@
 {
   runtime::HttpServerOptions options;
   options.stallTimeout_ = aSettings.stallTimeout_;
+  options.metrics_ = &metrics_;
   auto caller = runtime::HttpServer::Create(
     io_, aSettings.caller_, options, [this](runtime::HttpExchange& aExchange) {
       HandleCaller(aExchange);
@@ -139,8 +140,10 @@
 
 runtime::HttpResult<model::Unit> TrafficThread::OpenDesk(const model::Address& aAddress)
 {
+  runtime::HttpServerOptions options;
+  options.metrics_ = &metrics_;
   auto desk =
-    runtime::HttpServer::Create(io_, aAddress, {}, [this](runtime::HttpExchange& aExchange) {
+    runtime::HttpServer::Create(io_, aAddress, options, [this](runtime::HttpExchange& aExchange) {
       adapters_.handleDesk_(*this, aExchange);
     });
   if (!desk) {
@@ -245,7 +248,7 @@
     Message message;
     while (inbox_.Pop(message)) {
       if (const auto* report = std::get_if<model::BackendReport>(&message)) {
-        owner_.Report(*report);
+        (void)owner_.Report(*report);
       } else {
         owner_.MergeQuarantine(std::get<std::vector<decisions::QuarantineRecord>>(message));
       }
--- a/packages/runtime/include/hemlockproxy/runtime/HttpServer.h
+++ b/packages/runtime/include/hemlockproxy/runtime/HttpServer.h
@@ -3,6 +3,7 @@
 #include "hemlockproxy/model/Address.h"
 #include "hemlockproxy/runtime/FiberLoop.h"
 #include "hemlockproxy/runtime/Http.h"
+#include "hemlockproxy/runtime/Metrics.h"
 
 #include <chrono>
 #include <functional>
@@ -24,6 +25,8 @@
   /// Without progress while a body is read or a response is written.
   std::chrono::milliseconds stallTimeout_{ 30000 };
   std::size_t connections_ = 4096;
+  /// Counts the handlers that ended with an exception; null where nobody counts them.
+  Metrics* metrics_ = nullptr;
 };
 
 /// One request on a server connection and the response to it. Used by the connection's fiber only.
@@ -66,7 +69,8 @@
                                        std::string_view aContentType = "text/plain; charset=utf-8");
 };
 
-/// Accepts connections on an address and calls the handler in a fiber for each request.
+/// Accepts connections on an address and calls the handler in a fiber for each request. A handler
+/// that throws ends its request and its connection, not the process.
 class HttpServer
 {
 public:
--- a/packages/runtime/include/hemlockproxy/runtime/Log.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Log.h
@@ -60,6 +60,8 @@
   std::vector<LogRecord> records_;
   /// Where to read on; later than the last record when records of other writers were skipped.
   model::LogOffset resume_;
+  /// Records that were passed over because they could not be read.
+  std::size_t skipped_ = 0;
 };
 
 /// The platform's append-only log service. A stream either has keys, and then the newest record of
--- a/packages/runtime/include/hemlockproxy/runtime/LogEvent.h
+++ b/packages/runtime/include/hemlockproxy/runtime/LogEvent.h
@@ -25,6 +25,7 @@
   EndpointDraining,
   EndpointLeft,
   EndpointWithdrawn,
+  EndpointRejected,
   WorkDraining,
   RequestLimit,
   TrafficLate,
--- a/packages/runtime/include/hemlockproxy/runtime/Metrics.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Metrics.h
@@ -34,6 +34,10 @@
   LogReads,
   LogAppends,
   LogErrors,
+  /// Records of the log that were passed over because they could not be read.
+  LogRecordsSkipped,
+  /// Requests and messages whose handling ended with an unexpected exception.
+  HandlersFailed,
   VersionsEnforced,
   Count,
 };
--- a/packages/runtime/src/LogEvent.cpp
+++ b/packages/runtime/src/LogEvent.cpp
@@ -49,6 +49,7 @@
   { LogEvent::EndpointDraining, "members.endpoint-draining", LogClass::Change, kDetail },
   { LogEvent::EndpointLeft, "members.endpoint-left", LogClass::Change, kDetail },
   { LogEvent::EndpointWithdrawn, "members.endpoint-withdrawn", LogClass::Change, kDetail },
+  { LogEvent::EndpointRejected, "members.endpoint-rejected", LogClass::Change, kDetail },
   { LogEvent::WorkDraining, "traffic.draining", LogClass::Change, kDetail },
   { LogEvent::RequestLimit, "traffic.request-limit", LogClass::Change, kDetail },
   { LogEvent::TrafficLate, "traffic.late", LogClass::Change, kDetail },
--- a/packages/runtime/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -38,6 +38,8 @@
   { "log_reads_total", "Reads of the log service." },
   { "log_appends_total", "Appends to the log service." },
   { "log_errors_total", "Failed reads and appends." },
+  { "log_records_skipped_total", "Records of the log that could not be read." },
+  { "handlers_failed_total", "Requests and messages that ended with an unexpected exception." },
   { "versions_enforced_total", "Configuration versions enforced." },
 } };
 
--- a/packages/runtime/src/impl/ServerConnection.h
+++ b/packages/runtime/src/impl/ServerConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockproxy/runtime/EventRing.h"
 #include "hemlockproxy/runtime/HttpServer.h"
 
 #include "impl/HttpStream.h"
@@ -55,7 +56,7 @@
     while ((!shared_->stopping_ || AwaitsFirstRequest()) && ReadRequest()) {
       firstRead_ = true;
       ++shared_->inProgress_;
-      shared_->handler_(*this);
+      CallHandler();
       --shared_->inProgress_;
       EndExchange();
       if (!keepAlive_ || aborted_) {
@@ -208,6 +209,22 @@
                                            asio::wait_traits<std::chrono::steady_clock>,
                                            IoContext::executor_type>;
 
+  void CallHandler()
+  {
+    try {
+      shared_->handler_(*this);
+    } catch (const std::exception& error) {
+      Log(LogLevel::Error,
+          "http",
+          "a request ended with an unexpected exception: " + std::string(error.what()));
+      if (shared_->options_.metrics_ != nullptr) {
+        shared_->options_.metrics_->Add(Counter::HandlersFailed);
+      }
+      // Nothing can be promised about the request.
+      Abort();
+    }
+  }
+
   bool ReadRequest()
   {
     parser_.emplace();
--- a/packages/runtime/tests/HttpTest.cpp
+++ b/packages/runtime/tests/HttpTest.cpp
@@ -184,3 +184,30 @@
     UNSIGNED_LONGS_EQUAL(0, pool.IdleCount());
   });
 }
+
+// Guards against an unexpected exception in one request that ends the process and all others.
+TEST(Http, AHandlerThatThrowsEndsItsRequestOnly)
+{
+  Metrics metrics;
+  HttpServerOptions options;
+  options.metrics_ = &metrics;
+  const auto handler = [](HttpExchange& aExchange) {
+    if (aExchange.Request().target() == "/fault") {
+      throw std::out_of_range("an index is too large");
+    }
+    (void)aExchange.SendResponse(http::status::ok, "fine");
+  };
+  const auto client =
+    [&metrics](const IoContextPtr&, HttpServer& aServer, HttpConnectionPool& aPool) {
+      const Address address = aServer.LocalAddress();
+      const auto get = [&](const char* aTarget) {
+        return Fetch(
+          aPool, address, MakeRequest(http::verb::get, aTarget, address), {}, kTimeout, kBodyLimit);
+      };
+      CHECK_FALSE(get("/fault").Ok());
+      CHECK_TRUE(get("/fine").Ok());
+      UNSIGNED_LONGS_EQUAL(0, aServer.InProgress());
+      UNSIGNED_LONGS_EQUAL(1, metrics.Get(Counter::HandlersFailed));
+    };
+  WithServer(handler, client, options);
+}
--- a/packages/wire/include/hemlockproxy/wire/ThriftCodec.h
+++ b/packages/wire/include/hemlockproxy/wire/ThriftCodec.h
@@ -2,6 +2,12 @@
 
 #include "hemlockproxy/model/Result.h"
 
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <new>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 
@@ -27,7 +33,12 @@
   return buffer->getBufferAsString();
 }
 
-/// Reads a generated struct; fails on truncated, malformed or surplus bytes.
+/// Lists of messages have fewer elements: a list of all routes or members is the longest.
+inline constexpr std::size_t kMostElements = 1UL << 16;
+
+/// Reads a generated struct; fails on truncated, malformed or surplus bytes. The memory that it
+/// takes is bounded by the number of bytes, whatever lengths the message names; Thrift bounds its
+/// depth.
 template <typename T>
 [[nodiscard]] model::Result<T, DecodeError> DecodeThrift(std::string_view aBytes)
 {
@@ -37,7 +48,13 @@
       // The buffer only observes the bytes; Thrift's signature takes them as mutable.
       reinterpret_cast<std::uint8_t*>(const_cast<char*>(aBytes.data())),
       static_cast<std::uint32_t>(aBytes.size()));
-    apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    // Each byte of a text and each element of a list takes a byte of the message at least. Thrift
+    // takes a limit of 0 for none.
+    const std::size_t most = std::max<std::size_t>(aBytes.size(), 1);
+    apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(
+      buffer,
+      static_cast<std::int32_t>(std::min<std::size_t>(most, std::numeric_limits<int>::max())),
+      static_cast<std::int32_t>(std::min(most, kMostElements)));
     T message;
     message.read(&protocol);
     if (buffer->available_read() != 0) {
@@ -49,6 +66,8 @@
     return DecodeError{ error.what() };
   } catch (const std::bad_alloc&) {
     return DecodeError{ "a length field exceeds the available memory" };
+  } catch (const std::length_error&) {
+    return DecodeError{ "a length field is out of range" };
   }
 }
 
--- a/packages/wire/tests/MembershipCodecTest.cpp
+++ b/packages/wire/tests/MembershipCodecTest.cpp
@@ -199,3 +199,13 @@
     wire::EncodeSyncResponse(SyncLater{ std::chrono::milliseconds(1500) }));
   LONGS_EQUAL(1500, std::get<SyncLater>(*later).delay_.count());
 }
+
+// Guards against a short message that names a long list and takes the memory for it.
+TEST(MembershipCodec, RejectsListsThatAreLongerThanTheMessage)
+{
+  // A SyncResponseT with a table whose list of members names 100 million elements.
+  const std::string message("\x1c\x39\xfc\x80\xc2\xd7\x2f", 7);
+  const auto decoded = wire::DecodeSyncResponse(message);
+  CHECK_FALSE(decoded.Ok());
+  STRCMP_EQUAL("TProtocolException: Exceeded size limit", decoded.Error().message_.c_str());
+}
