Handle pipelined safe requests beside each other

Once a pipelined request had arrived, the close of the caller was no longer noticed, and a close by the daemon reset the connection when requests behind it were unread, which can lose the last response. Change: during an exchange the connection reads ahead, at most 16 KiB and 8 requests. GET and HEAD without a body are handled at once and answered in their order, all others wait for their turn. The caller's close reaches all of them. A stopping server answers what was begun, says close with the last response and reads what is left before it closes. Between requests a connection has neither a fiber nor buffers; a lazy timer closes idle ones.

--- a/packages/runtime/src/HttpServer.cpp
+++ b/packages/runtime/src/HttpServer.cpp
@@ -141,8 +141,7 @@
                     IoContext& aIo)
   {
     if (aShared->connections_.size() < aShared->options_.connections_) {
-      auto connection = std::make_shared<ServerConnection>(std::move(aSocket), aIo, aShared);
-      SpawnFiber([connection] { connection->Run(); });
+      std::make_shared<ServerConnection>(std::move(aSocket), aIo, aShared)->Start();
     }
   }
 
--- a/packages/runtime/src/impl/ServerConnection.h
+++ b/packages/runtime/src/impl/ServerConnection.h
@@ -4,11 +4,13 @@
 #include "hemlockproxy/runtime/HttpServer.h"
 
 #include "impl/HttpStream.h"
+#include "impl/PipelinedExchange.h"
 #include "impl/RequestCheck.h"
 
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include <deque>
 #include <set>
 
 namespace hemlockproxy::runtime::impl {
@@ -28,17 +30,30 @@
   bool stopping_ = false;
 };
 
+/// Requests of one connection that are handled before their turn.
+inline constexpr std::size_t kMostPipelined = 8;
+/// Bytes of pipelined requests that are read before their turn.
+inline constexpr std::size_t kMostReadAhead = 16UL * 1024;
+
 /// One caller's connection: reads its requests one after another and is the exchange of each.
+///
+/// Safe requests without a body that arrive during an exchange are handled beside it and answered
+/// in their order. Between requests the connection has neither a fiber nor buffers.
 class ServerConnection final
   : public HttpExchange
   , public std::enable_shared_from_this<ServerConnection>
 {
+  using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
+                                           asio::wait_traits<std::chrono::steady_clock>,
+                                           IoContext::executor_type>;
+
 public:
   ServerConnection(TcpStream::socket_type aSocket,
                    IoContext& aIo,
                    std::shared_ptr<ServerShared> aShared)
     : stream_(aIo.get_executor())
     , shared_(std::move(aShared))
+    , idleTimer_(aIo.get_executor())
   {
     stream_.socket() = std::move(aSocket);
     shared_->connections_.insert(this);
@@ -49,21 +64,12 @@
 
   ~ServerConnection() override { shared_->connections_.erase(this); }
 
-  void Run()
+  /// Waits for the first request.
+  void Start()
   {
     boost::system::error_code ignored;
     stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-    while ((!shared_->stopping_ || AwaitsFirstRequest()) && ReadRequest()) {
-      firstRead_ = true;
-      ++shared_->inProgress_;
-      CallHandler();
-      --shared_->inProgress_;
-      EndExchange();
-      if (!keepAlive_ || aborted_) {
-        break;
-      }
-    }
-    CloseGracefully();
+    Park();
   }
 
   /// Closes the connection if it holds no request.
@@ -71,6 +77,7 @@
   {
     boost::system::error_code ignored;
     if (idle_ && stream_.socket().available(ignored) == 0) {
+      idle_ = false;
       stream_.close();
     }
   }
@@ -143,8 +150,9 @@
     response_->version(11);
     const unsigned status = response_->result_int();
     noBody_ = Request().method() == http::verb::head || status == 204 || status == 304;
-    keepAlive_ =
-      parser_->get().keep_alive() && BodyDone() && !shared_->stopping_ && !closeAfterResponse_;
+    // Requests that are handled already are answered before the connection is closed.
+    const bool closing = shared_->stopping_ || closeAfterResponse_;
+    keepAlive_ = parser_->get().keep_alive() && BodyDone() && (!closing || !ahead_.empty());
     if (!noBody_ && !response_->has_content_length() && !response_->chunked()) {
       response_->chunked(true);
     }
@@ -201,18 +209,186 @@
 
   [[nodiscard]] bool CallerClosed() override
   {
-    return !stream_.socket().is_open() || PeerClosed(stream_.socket().native_handle());
+    return callerClosed_ || !stream_.socket().is_open() ||
+           PeerClosed(stream_.socket().native_handle());
   }
 
 private:
-  using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
-                                           asio::wait_traits<std::chrono::steady_clock>,
-                                           IoContext::executor_type>;
+  /// Handles requests until none is left to read. Called with a request on its way.
+  void Run()
+  {
+    bool reads = true;
+    while (reads && ReadRequest()) {
+      firstRead_ = true;
+      Handle(*this);
+      EndExchange();
+      while (KeepsOpen() && !ahead_.empty()) {
+        AnswerPipelined();
+      }
+      reads = KeepsOpen() && !shared_->stopping_;
+      if (reads && buffer_.size() == 0) {
+        Park();
+        return;
+      }
+    }
+    for (const auto& exchange : std::exchange(ahead_, {})) {
+      exchange->Cancel();
+    }
+    CloseGracefully();
+  }
+
+  [[nodiscard]] bool KeepsOpen() const noexcept
+  {
+    return keepAlive_ && !aborted_ && !callerClosed_;
+  }
+
+  /// Waits for the next request without a fiber; an idle connection keeps no memory of its last
+  /// exchange.
+  void Park()
+  {
+    idle_ = true;
+    idleSince_ = std::chrono::steady_clock::now();
+    parser_.reset();
+    serializer_.reset();
+    response_.reset();
+    buffer_.shrink_to_fit();
+    ArmIdleTimer();
+    if (waiting_) {
+      return; // The wait for the caller's close also ends when a request arrives.
+    }
+    Watch();
+  }
+
+  /// Closes the connection when it has been idle for too long. The timer is not cancelled by
+  /// requests: it finds out when it fires.
+  void ArmIdleTimer()
+  {
+    if (std::exchange(idleTimerArmed_, true)) {
+      return;
+    }
+    idleTimer_.expires_at(idleSince_ + shared_->options_.idleTimeout_);
+    idleTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code& aError) {
+      const auto self = weak.lock();
+      if (!self || aError) {
+        return;
+      }
+      self->idleTimerArmed_ = false;
+      if (!self->idle_) {
+        return;
+      }
+      if (std::chrono::steady_clock::now() <
+          self->idleSince_ + self->shared_->options_.idleTimeout_) {
+        self->ArmIdleTimer();
+      } else {
+        self->CloseIfIdle();
+      }
+    });
+  }
+
+  /// Waits until bytes or the caller's close arrive. One wait is outstanding at most.
+  void Watch()
+  {
+    waiting_ = true;
+    stream_.socket().async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](const boost::system::error_code& aError) {
+        self->waiting_ = false;
+        if (aError) {
+          return;
+        }
+        if (std::exchange(self->idle_, false)) {
+          SpawnFiber([self] { self->Run(); });
+        } else {
+          self->ReadAhead();
+        }
+      });
+  }
+
+  /// Reads what arrives during an exchange: pipelined requests, or the caller's close.
+  void ReadAhead()
+  {
+    if (!WatchesCaller()) {
+      return;
+    }
+    constexpr std::size_t kReadBytes = 4096;
+    const auto space = buffer_.prepare(kReadBytes);
+    const ssize_t received =
+      ::recv(stream_.socket().native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+    buffer_.commit(received > 0 ? static_cast<std::size_t>(received) : 0);
+    const bool open = received > 0 || (received < 0 && (errno == EAGAIN || errno == EINTR));
+    if (open) {
+      WatchCaller();
+      return;
+    }
+    callerClosed_ = true;
+    if (const auto onClosed = std::exchange(onClosed_, nullptr)) {
+      onClosed();
+    }
+    if (turn_) {
+      turn_->NotifyClosed();
+    }
+    for (const auto& exchange : ahead_) {
+      exchange->NotifyClosed();
+    }
+  }
+
+  /// Begins to handle the pipelined requests that have arrived whole.
+  void StartPipelined()
+  {
+    while (buffer_.size() > 0 && ahead_.size() < kMostPipelined && pipelines_ &&
+           !shared_->stopping_ && !closeAfterResponse_) {
+      auto parser = MakeParser();
+      boost::system::error_code error;
+      const std::size_t used = parser->put(buffer_.data(), error);
+      if (error || !parser->is_done() || !MayRunAhead(parser->get())) {
+        // What is not whole, not valid or has effects is read in its turn.
+        pipelines_ = error == http::error::need_more || (!error && !parser->is_header_done());
+        return;
+      }
+      buffer_.consume(used);
+      pipelines_ = parser->get().keep_alive();
+      auto exchange = std::make_shared<PipelinedExchange>(shared_from_this(), std::move(parser));
+      ahead_.push_back(exchange);
+      SpawnFiber([self = shared_from_this(), exchange] {
+        self->Handle(*exchange);
+        exchange->End();
+      });
+    }
+  }
+
+  /// Requests with effects keep their order, and so does one that this server answers by itself.
+  [[nodiscard]] static bool MayRunAhead(RequestHeader& aHeader)
+  {
+    const bool safe = aHeader.method() == http::verb::get || aHeader.method() == http::verb::head;
+    return safe && aHeader.version() == 11 && !CheckRequest(aHeader);
+  }
+
+  /// Gives the next pipelined request its turn.
+  void AnswerPipelined()
+  {
+    turn_ = ahead_.front();
+    ahead_.pop_front();
+    response_.reset();
+    serializer_.reset();
+    finished_ = false;
+    expectsContinue_ = false;
+    parser_ = turn_->Parser();
+    body_.Start(*parser_);
+    if (!turn_->TakeTurn()) {
+      Abort();
+    }
+    turn_.reset();
+    EndExchange();
+    // Requests may have arrived beyond what is handled at a time.
+    WatchCaller();
+  }
 
-  void CallHandler()
+  /// Calls the handler; an exception ends the request, not the process.
+  void Handle(HttpExchange& aExchange)
   {
+    ++shared_->inProgress_;
     try {
-      shared_->handler_(*this);
+      shared_->handler_(aExchange);
     } catch (const std::exception& error) {
       Log(LogLevel::Error,
           "http",
@@ -221,16 +397,23 @@
         shared_->options_.metrics_->Add(Counter::HandlersFailed);
       }
       // Nothing can be promised about the request.
-      Abort();
+      aExchange.Abort();
     }
+    --shared_->inProgress_;
+  }
+
+  [[nodiscard]] std::shared_ptr<RequestParser> MakeParser() const
+  {
+    auto parser = std::make_shared<RequestParser>();
+    parser->header_limit(shared_->options_.headerBytes_);
+    parser->body_limit(kUnlimitedBody);
+    return parser;
   }
 
   bool ReadRequest()
   {
-    parser_.emplace();
-    parser_->header_limit(shared_->options_.headerBytes_);
+    parser_ = MakeParser();
     buffer_.max_size(std::max(kMostBuffered, 2 * std::size_t{ shared_->options_.headerBytes_ }));
-    parser_->body_limit(kUnlimitedBody);
     response_.reset();
     serializer_.reset();
     finished_ = false;
@@ -246,6 +429,7 @@
       return false;
     }
     body_.Start(*parser_);
+    pipelines_ = parser_->get().keep_alive();
     expectsContinue_ = boost::beast::iequals(Request()[http::field::expect], "100-continue");
     return true;
   }
@@ -253,12 +437,10 @@
   bool WaitForFirstByte()
   {
     constexpr std::size_t kFirstReadBytes = 4096;
-    idle_ = true;
     stream_.expires_after(shared_->options_.idleTimeout_);
     const auto done = Await([&](auto aHandler) {
       stream_.async_read_some(buffer_.prepare(kFirstReadBytes), std::move(aHandler));
     });
-    idle_ = false;
     buffer_.commit(done.bytes_);
     return !done.error_;
   }
@@ -377,22 +559,24 @@
     }
   }
 
-  /// Waits for the caller to close the connection while a response is prepared. One wait is
-  /// outstanding at most; it also ends when the next request arrives, which is no close.
+  /// Returns whether bytes that arrive now belong to later requests, and how the caller's close
+  /// matters to a handler.
+  [[nodiscard]] bool WatchesCaller() const
+  {
+    return (onClosed_ || turn_ || !ahead_.empty()) && !callerClosed_ && parser_ && BodyDone() &&
+           buffer_.size() < kMostReadAhead;
+  }
+
+  /// Watches for the close of the caller, and for pipelined requests, while a response is prepared.
   void WatchCaller()
   {
-    if (!onClosed_ || waiting_ || !BodyDone() || buffer_.size() > 0) {
+    if (!WatchesCaller()) {
       return;
     }
-    waiting_ = true;
-    stream_.socket().async_wait(
-      asio::ip::tcp::socket::wait_read,
-      [self = shared_from_this()](const boost::system::error_code& aError) {
-        self->waiting_ = false;
-        if (!aError && self->onClosed_ && self->CallerClosed()) {
-          std::exchange(self->onClosed_, nullptr)();
-        }
-      });
+    StartPipelined();
+    if (!waiting_) {
+      Watch();
+    }
   }
 
   void CloseGracefully()
@@ -413,7 +597,9 @@
   {
     constexpr std::size_t kMaxDiscardedBytes = 1024UL * 1024;
     constexpr std::chrono::milliseconds kDiscardTimeout{ 500 };
-    if (!parser_ || (BodyDone() && !rejected_)) {
+    // A caller that was told of the close may have sent requests ahead, which are still unread.
+    const bool told = rejected_ || (finished_ && !keepAlive_);
+    if (callerClosed_ || !parser_ || (BodyDone() && !told)) {
       return;
     }
     std::vector<char> discarded(kBodyPartBytes);
@@ -433,11 +619,21 @@
   TcpStream stream_;
   std::shared_ptr<ServerShared> shared_;
   beast::flat_buffer buffer_{ kMostBuffered };
-  std::optional<http::request_parser<http::buffer_body>> parser_;
+  std::shared_ptr<RequestParser> parser_;
   BodyCursor body_;
   std::optional<http::response<http::buffer_body>> response_;
   std::optional<http::response_serializer<http::buffer_body>> serializer_;
   std::function<void()> onClosed_;
+  /// Pipelined requests that are handled already, in the order of their responses.
+  std::deque<std::shared_ptr<PipelinedExchange>> ahead_;
+  /// The pipelined request whose response is written.
+  std::shared_ptr<PipelinedExchange> turn_;
+  Timer idleTimer_;
+  std::chrono::steady_clock::time_point idleSince_;
+  bool idleTimerArmed_ = false;
+  bool callerClosed_ = false;
+  /// Later requests of this connection may be handled before their turn.
+  bool pipelines_ = false;
   bool expectsContinue_ = false;
   bool noBody_ = false;
   bool keepAlive_ = false;
