Bound the calls of the log that each daemon makes when a fleet starts

Cause: the time for which the end of the log is known was kept only once there was a configuration, so that the wait of the next read was 0 until the first one came. Besides, each daemon read all pages of all addresses once a second until it had a peer of its failure domain. Change: the end of the log is known without a configuration, too.

--- a/packages/ctl/tests/FakeLog.h
+++ b/packages/ctl/tests/FakeLog.h
@@ -78,6 +78,12 @@
     return runtime::LogError{ runtime::LogErrorKind::Unavailable, "no streams with keys" };
   }
 
+  model::Result<runtime::LogBatch, runtime::LogError> ReadNewestPage(std::string_view,
+                                                                     std::string_view) override
+  {
+    return runtime::LogError{ runtime::LogErrorKind::Unavailable, "no streams with keys" };
+  }
+
   std::vector<std::string> records_;
   model::LogOffset first_;
   std::deque<Fault> faults_;
--- a/packages/daemon/include/hemlockproxy/daemon/MemberStream.h
+++ b/packages/daemon/include/hemlockproxy/daemon/MemberStream.h
@@ -6,13 +6,18 @@
 
 #include <chrono>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace hemlockproxy::daemon {
 
-/// Keeps this daemon's control address in the log's `members` stream and reads the others'
-/// addresses from it, so that daemons find each other when no seed is alive. Used on the control
-/// thread.
+/// Keeps this daemon's control address in the log's `members` stream and finds other addresses
+/// there, so that daemons meet when no seed is alive. Used on the control thread.
+///
+/// The number of calls does not depend on the size of the fleet: after it has put its address, a
+/// daemon reads the addresses that were put just before. Of two daemons that start, the later one
+/// finds the earlier one; membership spreads the rest. Where these are too old, a daemon reads one
+/// page of all addresses at a time, and rarer the longer it stays alone.
 class MemberStream
 {
 public:
@@ -20,6 +25,8 @@
 
   /// Asks for another read, for example while no peer is known.
   void Refresh() noexcept { wantsRead_ = true; }
+  /// A peer is known: a read that has not begun is not needed.
+  void PeerKnown() noexcept;
   /// Returns the operation that is due, if any; at most one is in flight.
   [[nodiscard]] std::optional<LogCommand> Next(model::TimePoint aNow);
   void NotSubmitted() noexcept { inFlight_ = false; }
@@ -35,12 +42,19 @@
               model::RandomSource& aRandom);
 
 private:
+  [[nodiscard]] std::vector<model::Address> OthersIn(const runtime::LogBatch& aBatch) const;
+
   LogTicket readTicket_;
   LogTicket putTicket_;
   model::Address own_;
   bool wantsRead_ = true;
   bool wantsPut_ = true;
   bool inFlight_ = false;
+  /// Where the next read of records begins; pages of all addresses are read without it.
+  std::optional<model::LogOffset> from_;
+  /// The key after which the next page begins.
+  std::string pageAfter_;
+  std::chrono::milliseconds readInterval_;
   model::TimePoint readNotBefore_{};
   model::TimePoint putNotBefore_{};
 };
--- a/packages/daemon/include/hemlockproxy/daemon/PlatformThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/PlatformThread.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <thread>
 #include <variant>
@@ -32,6 +33,8 @@
 {
   LogTicket ticket_ = 0;
   std::string stream_;
+  /// Reads only the page that follows this key.
+  std::optional<std::string> pageAfter_;
 };
 
 struct LogAppendCommand
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -226,6 +226,8 @@
   ReadLogIfDue();
   if (membership_.Live(settings_.domain_).size() <= 1) {
     memberStream_.Refresh();
+  } else {
+    memberStream_.PeerKnown();
   }
   if (auto command = memberStream_.Next(Now()); command && !platform_.Submit(*std::move(command))) {
     memberStream_.NotSubmitted();
--- a/packages/daemon/src/OperatorConfigSource.cpp
+++ b/packages/daemon/src/OperatorConfigSource.cpp
@@ -80,9 +80,13 @@
     reported_ = newest_->version_;
     out.emplace_back(decisions::LogVersionAccepted{ newest_, nullptr });
   }
-  if (atEnd && newest_) {
-    out.emplace_back(decisions::LogTailReached{ tailTime_.End(aNow, aResult->records_.empty()) });
-    pace_.TailReached();
+  if (atEnd) {
+    // Known also while there is no configuration, so that the next read waits for the first one.
+    const auto asOf = tailTime_.End(aNow, aResult->records_.empty());
+    if (newest_) {
+      out.emplace_back(decisions::LogTailReached{ asOf });
+      pace_.TailReached();
+    }
   }
   return out;
 }
--- a/packages/daemon/src/PlatformThread.cpp
+++ b/packages/daemon/src/PlatformThread.cpp
@@ -74,8 +74,11 @@
 
 void PlatformThread::Execute(runtime::LogPort& aLog, const LogNewestCommand& aCommand)
 {
-  Complete(LogReadResult{ aCommand.ticket_,
-                          Measure("newest", [&] { return aLog.ReadNewest(aCommand.stream_); }) });
+  Complete(LogReadResult{ aCommand.ticket_, Measure("newest", [&] {
+                            return aCommand.pageAfter_
+                                     ? aLog.ReadNewestPage(aCommand.stream_, *aCommand.pageAfter_)
+                                     : aLog.ReadNewest(aCommand.stream_);
+                          }) });
 }
 
 void PlatformThread::Execute(runtime::LogPort& aLog, const LogAppendCommand& aCommand)
--- a/packages/daemon/tests/OperatorConfigSourceTest.cpp
+++ b/packages/daemon/tests/OperatorConfigSourceTest.cpp
@@ -97,6 +97,19 @@
   LONGS_EQUAL(9, Accepted(Finish(Batch(5, { "8", "9" }))));
 }
 
+// Guards against a fleet that reads the log without a pause until the first configuration comes.
+TEST(OperatorConfigSource, WaitsForTheFirstConfiguration)
+{
+  source_.Start(nullptr);
+  (void)Next<LogNewestCommand>();
+  (void)Finish(Batch(0, {}));
+  CHECK_TRUE(Next<LogReadCommand>().wait_ == milliseconds(1500));
+  now_ = 1500;
+  LONGS_EQUAL(-1, EndKnownAt(Finish(Batch(0, {}))));
+  CHECK_TRUE(Next<LogReadCommand>().wait_ == milliseconds(1500));
+  LONGS_EQUAL(1, Accepted(Finish(Batch(0, { "1" }))));
+}
+
 // Guards against a burst of versions that each cost a read, and against one that is read late.
 TEST(OperatorConfigSource, PausesBrieflyAfterARecord)
 {
--- a/packages/runtime/include/hemlockproxy/runtime/Log.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Log.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -62,6 +63,8 @@
   model::LogOffset resume_;
   /// Records that were passed over because they could not be read.
   std::size_t skipped_ = 0;
+  /// With a page of newest records: its last key, when there are more behind it.
+  std::optional<std::string> moreAfter_;
 };
 
 /// The platform's append-only log service. A stream either has keys, and then the newest record of
@@ -91,6 +94,10 @@
   /// Returns the newest record of each key. It is no snapshot: records that are appended meanwhile
   /// may be missing, so a reader goes on at next_.
   [[nodiscard]] virtual model::Result<LogBatch, LogError> ReadNewest(std::string_view aStream) = 0;
+
+  /// Returns one page of the newest records, with the keys that follow aAfter in their order.
+  [[nodiscard]] virtual model::Result<LogBatch, LogError> ReadNewestPage(std::string_view aStream,
+                                                                         std::string_view aAfter) = 0;
 };
 
 /// Makes a client of the log service at an address. Calls suspend the calling fiber of the loop and
