Free the buffers of idle connections to other daemons

Cause: a connection in the pool kept the header, the parser and the read buffer of its last exchange. Change: the pool trims what it takes back. The test of the fleet's start is a free function, formatted as the rest. The connections of the pool are not measured on their own.

--- a/packages/daemon/tests/MemberStreamTest.cpp
+++ b/packages/daemon/tests/MemberStreamTest.cpp
@@ -1,6 +1,7 @@
 #include "hemlockproxy/daemon/MemberStream.h"
 
 #include <algorithm>
+#include <map>
 #include <numeric>
 
 #include <CppUTest/TestHarness.h>
@@ -31,6 +32,56 @@
   return { model::LogOffset(aOffset), {}, address, address };
 }
 
+/// Lets a fleet start at once against a log in memory; returns the calls per daemon. Fails the test
+/// unless the addresses found connect all daemons.
+double CallsPerDaemon(std::size_t aDaemons)
+{
+  model::RandomSource random{ aDaemons };
+  std::vector<MemberStream> streams;
+  std::vector<std::size_t> order(aDaemons);
+  std::iota(order.begin(), order.end(), 0);
+  std::shuffle(order.begin(), order.end(), random);
+  for (std::size_t i = 0; i < aDaemons; ++i) {
+    streams.emplace_back(kRead, kPut, AddressOf(i));
+  }
+  std::vector<runtime::LogRecord> log;
+  std::map<model::Address, std::size_t> numbers;
+  std::size_t calls = 0;
+  for (const std::size_t i : order) {
+    CHECK_TRUE(std::holds_alternative<LogPutCommand>(*streams[i].Next(At(0))));
+    ++calls;
+    const model::LogOffset offset(log.size());
+    log.push_back(RecordOf(offset.Value(), i));
+    numbers[AddressOf(i)] = i;
+    streams[i].Finish(model::Result<model::LogOffset, runtime::LogError>(offset), At(0), random);
+  }
+  std::vector<std::size_t> group(aDaemons);
+  std::iota(group.begin(), group.end(), 0);
+  const auto rootOf = [&group](std::size_t aOne) {
+    while (group[aOne] != aOne) {
+      aOne = group[aOne];
+    }
+    return aOne;
+  };
+  for (std::size_t i = 0; i < aDaemons; ++i) {
+    const auto command = streams[i].Next(At(400));
+    CHECK_TRUE(command.has_value());
+    ++calls;
+    const auto& read = std::get<LogReadCommand>(*command);
+    const auto first = log.begin() + static_cast<std::ptrdiff_t>(read.from_.Value());
+    const auto left = static_cast<std::size_t>(log.end() - first);
+    runtime::LogBatch batch;
+    batch.records_.assign(first, first + static_cast<std::ptrdiff_t>(std::min(left, read.most_)));
+    for (const model::Address& found : streams[i].Finish(batch, At(400), random)) {
+      group[rootOf(numbers.at(found))] = rootOf(i);
+    }
+  }
+  for (std::size_t i = 0; i < aDaemons; ++i) {
+    LONGS_EQUAL(rootOf(0), rootOf(i));
+  }
+  return static_cast<double>(calls) / static_cast<double>(aDaemons);
+}
+
 } // namespace
 
 /// One daemon with prepared answers of the log.
@@ -147,60 +198,7 @@
   LONGS_EQUAL(0, Next<LogReadCommand>().from_.Value());
 }
 
-/// Fleets that start at once, against a log in memory.
-TEST_GROUP(MemberStreamFleet){
-  /// Lets a fleet put and read; returns the calls per daemon. Fails the test unless the addresses
-  /// found connect all daemons.
-  static double CallsPerDaemon(std::size_t aDaemons){ model::RandomSource random{ aDaemons };
-std::vector<MemberStream> streams;
-std::vector<std::size_t> order(aDaemons);
-std::iota(order.begin(), order.end(), 0);
-std::shuffle(order.begin(), order.end(), random);
-for (std::size_t i = 0; i < aDaemons; ++i) {
-  streams.emplace_back(kRead, kPut, AddressOf(i));
-}
-std::vector<runtime::LogRecord> log;
-std::size_t calls = 0;
-for (const std::size_t i : order) {
-  CHECK_TRUE(std::holds_alternative<LogPutCommand>(*streams[i].Next(At(0))));
-  ++calls;
-  const model::LogOffset offset(log.size());
-  log.push_back(RecordOf(offset.Value(), i));
-  streams[i].Finish(model::Result<model::LogOffset, runtime::LogError>(offset), At(0), random);
-}
-std::vector<std::size_t> group(aDaemons);
-std::iota(group.begin(), group.end(), 0);
-const auto rootOf = [&group](std::size_t aOne) {
-  while (group[aOne] != aOne) {
-    aOne = group[aOne];
-  }
-  return aOne;
-};
-for (std::size_t i = 0; i < aDaemons; ++i) {
-  const auto command = streams[i].Next(At(400));
-  CHECK_TRUE(command.has_value());
-  ++calls;
-  const auto& read = std::get<LogReadCommand>(*command);
-  runtime::LogBatch batch;
-  for (std::uint64_t at = read.from_.Value(); at < log.size() && batch.records_.size() < read.most_;
-       ++at) {
-    batch.records_.push_back(log[at]);
-  }
-  for (const model::Address& found : streams[i].Finish(batch, At(400), random)) {
-    const auto other =
-      std::find_if(log.begin(), log.end(), [&found](const runtime::LogRecord& aRecord) {
-        return aRecord.bytes_ == ToString(found);
-      });
-    group[rootOf(order[other->offset_.Value()])] = rootOf(i);
-  }
-}
-for (std::size_t i = 0; i < aDaemons; ++i) {
-  LONGS_EQUAL(rootOf(0), rootOf(i));
-}
-return static_cast<double>(calls) / static_cast<double>(aDaemons);
-}
-}
-;
+TEST_GROUP(MemberStreamFleet){};
 
 // Guards against a cost per daemon that grows with the fleet.
 TEST(MemberStreamFleet, NeedsTwoCallsPerDaemonAtEachSize)
--- a/packages/runtime/include/hemlockproxy/runtime/HttpClient.h
+++ b/packages/runtime/include/hemlockproxy/runtime/HttpClient.h
@@ -48,6 +48,8 @@
   /// Returns whether the response was read to its end and the connection may carry another
   /// exchange.
   [[nodiscard]] virtual bool Reusable() const = 0;
+  /// Frees the memory of the last exchange, before the connection is kept idle.
+  virtual void Trim() = 0;
   /// Returns whether the peer has neither closed the connection nor sent unexpected bytes.
   [[nodiscard]] virtual bool Idle() = 0;
   /// Returns whether any byte of the current request may have been sent.
--- a/packages/runtime/include/hemlockproxy/runtime/Log.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Log.h
@@ -96,8 +96,9 @@
   [[nodiscard]] virtual model::Result<LogBatch, LogError> ReadNewest(std::string_view aStream) = 0;
 
   /// Returns one page of the newest records, with the keys that follow aAfter in their order.
-  [[nodiscard]] virtual model::Result<LogBatch, LogError> ReadNewestPage(std::string_view aStream,
-                                                                         std::string_view aAfter) = 0;
+  [[nodiscard]] virtual model::Result<LogBatch, LogError> ReadNewestPage(
+    std::string_view aStream,
+    std::string_view aAfter) = 0;
 };
 
 /// Makes a client of the log service at an address. Calls suspend the calling fiber of the loop and
--- a/packages/runtime/src/HttpClient.cpp
+++ b/packages/runtime/src/HttpClient.cpp
@@ -141,6 +141,14 @@
            buffer_.size() == 0 && stream_.socket().is_open();
   }
 
+  void Trim() override
+  {
+    serializer_.reset();
+    request_.reset();
+    parser_.reset();
+    buffer_.shrink_to_fit();
+  }
+
   [[nodiscard]] bool Idle() override
   {
     if (!stream_.socket().is_open()) {
@@ -275,6 +283,7 @@
   if (!aConnection || !aConnection->Reusable()) {
     return;
   }
+  aConnection->Trim();
   auto& idle = idle_[aAddress];
   if (idle.size() >= idlePerAddress_) {
     idle.pop_front();
