Confirm a backend server that was there before its daemon started

It could happen here: what has left is remembered in the process only, and reports may come seconds late. A daemon that restarted after the leave of its backend server took such a report for the first one of a present backend server and gave it work until three reports were missed. Change: a backend server that started more than 3 s before its daemon gets work only once a health check is answered with its id, or a second report follows at the pace of reports. A cold start needs neither. Cost: one health check for each restart of a daemon beside a running backend server.

--- a/packages/daemon/include/hemlockproxy/daemon/Dialect.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Dialect.h
@@ -89,6 +89,14 @@
   [[nodiscard]] virtual BackendResponse ReadBackendResponse(const runtime::ResponseHeader& aHeader,
                                                             std::string_view aRequestId) const = 0;
 
+  /// Returns the id of the backend server that answered a health check, if it says that it takes
+  /// work; nothing otherwise, and where backend servers have no ids.
+  [[nodiscard]] virtual std::optional<model::BackendId> ReadHealth(
+    const runtime::ResponseHeader& /*aHeader*/) const
+  {
+    return std::nullopt;
+  }
+
   /// Returns the time after which a caller of the rejected request may come back, as the text of
   /// the Retry-After field.
   [[nodiscard]] virtual std::string RetryAfter(std::chrono::milliseconds aTime) const = 0;
--- a/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
@@ -35,6 +35,8 @@
   ExchangeOptions exchange_;
   /// How often the backend server of this instance reports.
   std::chrono::milliseconds reportInterval_{ 1000 };
+  /// When the daemon started; with the epoch, the first report of a backend server is trusted.
+  model::WallTime daemonStart_{};
   DialectPtr dialect_;
   decisions::TransferQueueOptions link_;
   /// Null writes no lines.
@@ -98,6 +100,8 @@
   /// Takes new slots, limits and draining states into use.
   void ApplyState();
   [[nodiscard]] std::optional<model::Endpoint> CurrentEndpoint() const;
+  /// Checks the health of a backend server that awaits confirmation, once for each start.
+  void ConfirmIfDue();
   /// The backend server or its state has changed.
   void BackendChanged(runtime::LogEvent aEvent);
   /// Returns what a request asks of the link.
@@ -156,6 +160,8 @@
   decisions::RequestId lastId_;
   std::unordered_map<decisions::RequestId, Waiter*> waiting_;
   bool ticking_ = false;
+  /// The start of the backend server that the last health check was for.
+  std::optional<std::pair<model::BackendId, model::WallTime>> checked_;
   std::atomic<bool> rejectsLateBodies_ = false;
   model::TimePoint nextPoolCheck_{};
   /// Bytes of response bodies being read into memory.
--- a/packages/daemon/src/OwnerBackend.cpp
+++ b/packages/daemon/src/OwnerBackend.cpp
@@ -7,6 +7,16 @@
 
 namespace hemlockproxy::daemon {
 
+namespace {
+
+namespace http = runtime::http;
+
+/// A health check waits for a slot like a request.
+constexpr std::chrono::milliseconds kHealthTimeout{ 1000 };
+constexpr std::size_t kMostHealthBytes = 64UL * 1024;
+
+} // namespace
+
 bool OwnerService::Report(const model::BackendReport& aReport)
 {
   // The current backend server goes on although its service has just been removed, and one that
@@ -51,6 +61,36 @@
   onEndpoint_(CurrentEndpoint());
 }
 
+void OwnerService::ConfirmIfDue()
+{
+  if (!registry_.AwaitsConfirmation() || !seen_ || !seen_->routes_) {
+    return;
+  }
+  const model::BackendReport backend = *registry_.Current();
+  const auto& content = seen_->routes_->Configuration().content_;
+  const auto service = content.find(backend.service_);
+  const auto start = std::pair(backend.id_, backend.startedAt_);
+  if (checked_ == start || service == content.end() ||
+      service->second->config_.healthPath_.empty()) {
+    return;
+  }
+  checked_ = start;
+  runtime::SpawnFiber([this, backend, path = service->second->config_.healthPath_] {
+    auto response = runtime::Fetch(pool_,
+                                   backend.address_,
+                                   runtime::MakeRequest(http::verb::get, path, backend.address_),
+                                   {},
+                                   kHealthTimeout,
+                                   kMostHealthBytes);
+    // Without a good answer the next report confirms.
+    const bool healthy =
+      response && options_.dialect_->ReadHealth(response->header_) == backend.id_;
+    if (healthy && registry_.Confirm(backend.id_, backend.startedAt_)) {
+      BackendChanged(runtime::LogEvent::EndpointAnnounced);
+    }
+  });
+}
+
 std::optional<model::Endpoint> OwnerService::CurrentEndpoint() const
 {
   const auto& backend = registry_.Current();
@@ -61,7 +101,7 @@
   endpoint.service_ = backend->service_;
   endpoint.slots_ = backend->slots_;
   endpoint.connections_ = std::max<std::uint32_t>(1, backend->connections_);
-  endpoint.draining_ = backend->draining_;
+  endpoint.draining_ = !registry_.TakesWork();
   endpoint.id_ = backend->id_;
   return endpoint;
 }
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -139,7 +139,8 @@
   , pool_(io_, kBackendIdleConnections, kBackendIdleTime)
   , tellPeers_(std::move(aTellPeers))
   , onEndpoint_(std::move(aOnEndpoint))
-  , registry_(*decisions::BackendRegistry::Create({ .interval_ = options_.reportInterval_ }))
+  , registry_(*decisions::BackendRegistry::Create(
+      { .interval_ = options_.reportInterval_, .daemonStart_ = options_.daemonStart_ }))
   , quarantine_(*decisions::Quarantine::Create({}))
   , link_(std::make_unique<impl::LinkScheduler>(*decisions::TransferQueue::Create(options_.link_)))
 {
@@ -167,6 +168,7 @@
     BackendChanged(runtime::LogEvent::EndpointWithdrawn);
   }
   Refresh(views_.Load());
+  ConfirmIfDue();
   using runtime::Gauge;
   metrics_.Set(Gauge::OwnerRunning, admission_ ? admission_->Running() : 0);
   metrics_.Set(Gauge::OwnerQueued, admission_ ? admission_->Queued() : 0);
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -48,6 +48,7 @@
   options.self_ = IdOf(aSettings);
   options.exchange_.stallTimeout_ = aSettings.stallTimeout_;
   options.reportInterval_ = aSettings.announceInterval_;
+  options.daemonStart_ = model::WallNow();
   options.link_.bytesPerSecond_ = aSettings.linkBytesPerSecond_;
   options.dialect_ = aAdapters.dialect_;
   options.lines_ = &aLines;
--- a/packages/decisions/include/hemlockproxy/decisions/BackendRegistry.h
+++ b/packages/decisions/include/hemlockproxy/decisions/BackendRegistry.h
@@ -18,6 +18,9 @@
   std::chrono::milliseconds interval_{ 1000 };
   /// Missed reports after which the backend server is taken as gone.
   std::uint32_t missedReports_ = 3;
+  /// When the daemon started, by its wall clock; the epoch when that does not matter. What left
+  /// before then is not remembered.
+  model::WallTime daemonStart_{};
 };
 
 struct BackendRegistryError
@@ -40,6 +43,10 @@
 ///
 /// A backend server that drains or has left gets no new work again, whatever arrives late. Only a
 /// later start of it, or another backend server at the same address, takes its place.
+///
+/// A daemon that restarts beside a backend server does not know whether it has left meanwhile, and
+/// its first report may be a late one. Such a backend server gets no work until it is confirmed: by
+/// a health check, or by a report that follows at the pace of reports.
 class BackendRegistry
 {
 public:
@@ -54,6 +61,11 @@
   /// A backend server said in a response that it leaves; binds like a report that it drains.
   /// Returns whether that is news of the present start.
   bool SaysItLeaves(const model::BackendId& aId, model::WallTime aStartedAt);
+  /// A health check was answered by the start of the backend server that is current; returns
+  /// whether that is news.
+  bool Confirm(const model::BackendId& aId, model::WallTime aStartedAt);
+  /// Returns whether the backend server is not confirmed yet.
+  [[nodiscard]] bool AwaitsConfirmation() const noexcept { return current_ && !confirmed_; }
   /// Forgets a backend server whose reports have stopped; returns whether it did.
   bool Tick(model::TimePoint aNow);
 
@@ -63,7 +75,10 @@
     return current_;
   }
   /// Returns whether new work may be sent to the backend server.
-  [[nodiscard]] bool TakesWork() const noexcept { return current_ && !current_->draining_; }
+  [[nodiscard]] bool TakesWork() const noexcept
+  {
+    return current_ && confirmed_ && !current_->draining_;
+  }
 
 private:
   /// A start of a backend server that has left.
@@ -87,6 +102,9 @@
 
   BackendRegistryOptions options_;
   std::optional<model::BackendReport> current_;
+  bool confirmed_ = true;
+  /// When the first report of the current start came.
+  model::TimePoint known_{};
   model::TimePoint renewed_{};
   std::deque<Departed> departed_;
 };
--- a/packages/decisions/src/BackendRegistry.cpp
+++ b/packages/decisions/src/BackendRegistry.cpp
@@ -16,6 +16,9 @@
 /// For this long a report may be on its way. A backend server that left unknown to the daemon can
 /// only be told from a later start under the same id by the time that has passed.
 constexpr std::chrono::seconds kLatestReport{ 10 };
+/// A backend server that started this long before the daemon may have left before the daemon
+/// started; the processes of an instance that starts are up within less.
+constexpr std::chrono::seconds kStartMargin{ 3 };
 
 } // namespace
 
@@ -49,9 +52,18 @@
   } else if (ordered && current_) {
     RememberDeparture(aNow, current_->id_, current_->startedAt_);
   }
-  const bool changed = !sameStart || current_->draining_ != next.draining_ ||
-                       current_->slots_ != next.slots_ || current_->address_ != next.address_ ||
-                       current_->service_ != next.service_ ||
+  const bool wasConfirmed = confirmed_;
+  if (!sameStart) {
+    confirmed_ = !ordered || options_.daemonStart_ == model::WallTime() ||
+                 next.startedAt_ + kStartMargin > options_.daemonStart_;
+    known_ = aNow;
+  } else if (aNow - known_ >= options_.interval_ / 2) {
+    // Reports that were held up arrive together; this one came at the pace of reports.
+    confirmed_ = true;
+  }
+  const bool changed = !sameStart || confirmed_ != wasConfirmed ||
+                       current_->draining_ != next.draining_ || current_->slots_ != next.slots_ ||
+                       current_->address_ != next.address_ || current_->service_ != next.service_ ||
                        current_->connections_ != next.connections_;
   current_ = std::move(next);
   renewed_ = aNow;
@@ -79,6 +91,14 @@
   return news;
 }
 
+bool BackendRegistry::Confirm(const BackendId& aId, model::WallTime aStartedAt)
+{
+  const bool news =
+    !confirmed_ && current_ && current_->id_ == aId && current_->startedAt_ == aStartedAt;
+  confirmed_ = confirmed_ || news;
+  return news;
+}
+
 bool BackendRegistry::Tick(TimePoint aNow)
 {
   if (!current_ || aNow < renewed_ + options_.interval_ * options_.missedReports_) {
--- a/packages/decisions/tests/BackendRegistryTest.cpp
+++ b/packages/decisions/tests/BackendRegistryTest.cpp
@@ -163,3 +163,51 @@
   CHECK_FALSE(registry_.SaysItLeaves(Report(1).id_, Report(1).startedAt_));
   CHECK_TRUE(registry_.TakesWork());
 }
+
+/// A daemon that starts at 61 s, beside a backend server that started at 1 s.
+TEST_GROUP(BackendRegistryAfterARestart)
+{
+  BackendRegistry registry_ =
+    BackendRegistry::Create({ .daemonStart_ = model::WallTime(milliseconds(61'000)) }).Value();
+};
+
+// Guards against a backend server that left before the restart and is used again because of a late
+// report.
+TEST(BackendRegistryAfterARestart, ALateReportBringsNoWork)
+{
+  (void)registry_.Report(At(0), Report(7));
+  CHECK_FALSE(registry_.TakesWork());
+  // Held up reports arrive together.
+  (void)registry_.Report(At(50), Report(8));
+  CHECK_FALSE(registry_.TakesWork());
+  CHECK_TRUE(registry_.Tick(At(3100)));
+  CHECK_FALSE(registry_.AwaitsConfirmation());
+}
+
+TEST(BackendRegistryAfterARestart, AReportAtThePaceOfReportsConfirms)
+{
+  (void)registry_.Report(At(0), Report(7));
+  CHECK_TRUE(registry_.Report(At(1000), Report(8)) == ReportUse::Changed);
+  CHECK_TRUE(registry_.TakesWork());
+  CHECK_TRUE(registry_.Report(At(2000), Report(9)) == ReportUse::Renewed);
+}
+
+TEST(BackendRegistryAfterARestart, AHealthCheckConfirmsTheStartThatAnsweredIt)
+{
+  (void)registry_.Report(At(0), Report(7));
+  CHECK_FALSE(registry_.Confirm(model::BackendId("bitacora-2"), Report(7).startedAt_));
+  CHECK_FALSE(registry_.Confirm(Report(7).id_, model::WallTime(milliseconds(500))));
+  CHECK_TRUE(registry_.Confirm(Report(7).id_, Report(7).startedAt_));
+  CHECK_TRUE(registry_.TakesWork());
+  (void)registry_.Report(At(1000), Draining(Report(8)));
+  CHECK_FALSE(registry_.Confirm(Report(7).id_, Report(7).startedAt_));
+  CHECK_FALSE(registry_.TakesWork());
+}
+
+TEST(BackendRegistryAfterARestart, ABackendServerThatStartsWithTheDaemonTakesWorkAtOnce)
+{
+  (void)registry_.Report(At(0), StartedAt(Report(1), 60'000));
+  CHECK_TRUE(registry_.TakesWork());
+  (void)registry_.Report(At(100), StartedAt(Report(1, "bitacora-2"), 62'000));
+  CHECK_TRUE(registry_.TakesWork());
+}
