Pause between reads before the first configuration

Change: before there is a configuration a reader asks again after about half a second and lets nothing wait.

--- a/packages/daemon/src/OperatorConfigSource.cpp
+++ b/packages/daemon/src/OperatorConfigSource.cpp
@@ -1,6 +1,8 @@
 #include "hemlockproxy/daemon/OperatorConfigSource.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <random>
 
 namespace hemlockproxy::daemon {
 
@@ -12,6 +14,8 @@
 constexpr std::size_t kBatchRecords = 4096;
 /// Versions may follow each other within milliseconds, and only the newest counts.
 constexpr std::chrono::milliseconds kReadGap{ 150 };
+/// The mean pause between reads until there is a first configuration.
+constexpr std::chrono::milliseconds kFirstPause{ 500 };
 /// A log that returns must be noticed in time for a version that was written just before.
 constexpr ReadBackoff kBackoff{ std::chrono::milliseconds(100), std::chrono::milliseconds(500) };
 
@@ -38,8 +42,11 @@
   }
   // The first read after a failure returns at once, so that a recovered log is noticed without
   // waiting for a record.
-  const auto wait = pace_.LogAvailable() ? tailTime_.WaitUntilAge(aNow, options_.wait_)
-                                         : std::chrono::milliseconds(0);
+  // Neither does one before the first configuration: each daemon of a fleet that starts would hold
+  // a read at the log.
+  const bool waits = pace_.LogAvailable() && newest_;
+  const auto wait =
+    waits ? tailTime_.WaitUntilAge(aNow, options_.wait_) : std::chrono::milliseconds(0);
   tailTime_.Begin(aNow, wait);
   return LogCommand(LogReadCommand{ options_.ticket_, kStream, next_, wait, kBatchRecords });
 }
@@ -80,13 +87,13 @@
     reported_ = newest_->version_;
     out.emplace_back(decisions::LogVersionAccepted{ newest_, nullptr });
   }
-  if (atEnd) {
-    // Known also while there is no configuration, so that the next read waits for the first one.
-    const auto asOf = tailTime_.End(aNow, aResult->records_.empty());
-    if (newest_) {
-      out.emplace_back(decisions::LogTailReached{ asOf });
-      pace_.TailReached();
-    }
+  if (atEnd && newest_) {
+    out.emplace_back(decisions::LogTailReached{ tailTime_.End(aNow, aResult->records_.empty()) });
+    pace_.TailReached();
+  } else if (!newest_) {
+    std::uniform_int_distribution<std::int64_t> pause(kFirstPause.count() / 2,
+                                                      kFirstPause.count() * 3 / 2);
+    pace_.PauseUntil(aNow + std::chrono::milliseconds(pause(aRandom)));
   }
   return out;
 }
--- a/packages/daemon/tests/OperatorConfigSourceTest.cpp
+++ b/packages/daemon/tests/OperatorConfigSourceTest.cpp
@@ -97,17 +97,27 @@
   LONGS_EQUAL(9, Accepted(Finish(Batch(5, { "8", "9" }))));
 }
 
-// Guards against a fleet that reads the log without a pause until the first configuration comes.
-TEST(OperatorConfigSource, WaitsForTheFirstConfiguration)
+// Guards against a fleet that reads the log without a pause until the first configuration comes, or
+// of which each daemon keeps a read waiting there.
+TEST(OperatorConfigSource, PausesUntilTheFirstConfiguration)
 {
   source_.Start(nullptr);
   (void)Next<LogNewestCommand>();
   (void)Finish(Batch(0, {}));
-  CHECK_TRUE(Next<LogReadCommand>().wait_ == milliseconds(1500));
-  now_ = 1500;
-  LONGS_EQUAL(-1, EndKnownAt(Finish(Batch(0, {}))));
-  CHECK_TRUE(Next<LogReadCommand>().wait_ == milliseconds(1500));
+  std::size_t reads = 0;
+  for (; now_ < 10'000; now_ += 50) {
+    if (const auto command = source_.NextRead(At(now_))) {
+      ++reads;
+      CHECK_TRUE(std::get<LogReadCommand>(*command).wait_ == milliseconds(0));
+      LONGS_EQUAL(-1, EndKnownAt(Finish(Batch(0, {}))));
+    }
+  }
+  CHECK_TRUE(reads >= 10 && reads <= 40);
+  now_ += 750;
+  (void)Next<LogReadCommand>();
   LONGS_EQUAL(1, Accepted(Finish(Batch(0, { "1" }))));
+  now_ += 200;
+  CHECK_TRUE(Next<LogReadCommand>().wait_ > milliseconds(0));
 }
 
 // Guards against a burst of versions that each cost a read, and against one that is read late.
