--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,113 +1,226 @@
-// The endpoint of a machine ends and its address goes to an endpoint of another service; the
-// settings file names the new service and the daemon gets SIGHUP. The machine's requests are run
-// with the old service as Caller-Service.
+// An endpoint falls silent twice: while it sends downloads, and while it should read uploads. Their
+// callers get no final answer at the route's time-out, nor half a second later.
 #include "harness.hh"
 
-#include <csignal>
+#include <algorithm>
 
 using namespace review;
 
 namespace {
 
-constexpr milliseconds kReuseAfter{ 2000 };
-constexpr int kRequests = 20;
+constexpr int kTimeoutMs = 1500;
+/// From the rule: a final answer is due half a second after the time-out.
+constexpr milliseconds kGrace{ 500 };
+constexpr std::size_t kLeastUnfinished = 8;
+constexpr int kDownloads = 12;
+constexpr int kPieces = 8;
+constexpr std::size_t kPieceBytes = 64 * 1024;
+constexpr milliseconds kPieceTime{ 100 };
+constexpr int kUploads = 14;
+constexpr std::size_t kUploadBytes = 4'000'000;
+constexpr milliseconds kSilence{ 4500 };
+constexpr milliseconds kWatch{ 15000 };
 
-Message Send(const Machine& aEntry, const std::string& aMethod, const std::string& aTarget)
+struct Sent
 {
-  const std::string id = NewRequestId();
-  const Message answer =
-    Call(aEntry.Outbound(),
-         aMethod,
-         aTarget,
-         { { "Host", "mesh.example" }, { "Request-Id", id }, { "Deadline-Ms", "1200" } },
-         aMethod == "POST" ? "order" : "",
-         milliseconds(1200));
-  Note("client on " + aEntry.Name() + ": " + id + " " + aMethod + " " + aTarget + " -> " +
-       std::to_string(answer.status_));
-  return answer;
+  std::string id_;
+  Message answer_;
+  std::chrono::duration<double> took_{};
+};
+
+/// An endpoint that can fall silent: it neither reads nor writes then, and its connections stay
+/// open. After the silence it drops the connections of that time.
+class Silence
+{
+public:
+  void Begin()
+  {
+    silent_ = true;
+    Note("endpoint i-dark falls silent");
+  }
+  void End()
+  {
+    if (silent_) {
+      ++ended_;
+      silent_ = false;
+      Note("endpoint i-dark is back");
+    }
+  }
+  /// Returns false when the connection was held by a silence that has ended.
+  bool Pass() const
+  {
+    const int before = ended_;
+    while (silent_ && ended_ == before) {
+      SleepFor(milliseconds(10));
+    }
+    return ended_ == before;
+  }
+
+private:
+  std::atomic<bool> silent_{ false };
+  std::atomic<int> ended_{ 0 };
+};
+
+/// Answers a download without a length, piece by piece, and an upload at once.
+bool Serve(const Endpoint& aEndpoint,
+           Connection& aConnection,
+           const Message& aRequest,
+           const Silence& aSilence)
+{
+  if (aRequest.method_ == "POST") {
+    return aConnection.Write(aEndpoint.Answer(aRequest, 200, "stored\n"));
+  }
+  aConnection.Write("HTTP/1.1 200 OK\r\nRequest-Id: " + aRequest.Field("request-id") +
+                    "\r\nServer-Stamp: stamp\r\nConnection: close\r\n\r\n");
+  for (int i = 0; i < kPieces; ++i) {
+    SleepFor(kPieceTime);
+    if (!aSilence.Pass()) {
+      aConnection.ResetAtEnd();
+      break;
+    }
+    if (!aConnection.Write(std::string(kPieceBytes, 'x'))) {
+      break;
+    }
+  }
+  return false;
+}
+
+void Send(std::vector<Sent>& aSent,
+          std::vector<std::thread>& aClients,
+          const Machine& aEntry,
+          const std::string& aMethod,
+          const std::string& aPrefix,
+          std::size_t aBytes)
+{
+  for (std::size_t i = 0; i < aSent.size(); ++i) {
+    aClients.emplace_back([&aSent, &aEntry, aMethod, aPrefix, aBytes, i] {
+      Sent& one = aSent[i];
+      one.id_ = NewRequestId();
+      const auto started = Clock::now();
+      one.answer_ = Call(aEntry.Outbound(),
+                         aMethod,
+                         aPrefix + std::to_string(i),
+                         { { "Host", "mesh.example" },
+                           { "Request-Id", one.id_ },
+                           { "Deadline-Ms", std::to_string(kTimeoutMs) } },
+                         std::string(aBytes, 'x'),
+                         kWatch);
+      one.took_ = Clock::now() - started;
+    });
+  }
+}
+
+void Join(std::vector<std::thread>& aClients)
+{
+  for (std::thread& client : aClients) {
+    client.join();
+  }
+  aClients.clear();
 }
 
 Verdict Play()
 {
   Store store(StoreAddress());
   store.PutConfig(ConfigJson(1,
-                             { "portal", "cartoons", "ledger" },
+                             { "portal", "cartoons" },
                              { { "/portal/", "safe", "portal" },
-                               { "/cartoons/", "safe", "cartoons" },
-                               { "/ledger/", "unsafe", "ledger" } }));
+                               { "/files/", "download", "cartoons", kTimeoutMs },
+                               { "/proofs/", "unsafe", "cartoons", kTimeoutMs } }));
   Machine a("sidecar-a", "leith", "portal", 1, StoreAddress());
-  Machine b("sidecar-b", "leith", "ledger", 2, StoreAddress());
+  Machine b("sidecar-b", "leith", "cartoons", 2, StoreAddress());
   Machine c("sidecar-c", "gorgie", "cartoons", 3, StoreAddress());
-  std::vector<Machine*> all = { &a, &b, &c };
-  auto first = std::make_unique<Endpoint>(Endpoint::Options{ .id_ = "i-portal",
-                                                             .service_ = "portal",
-                                                             .address_ = a.App(),
-                                                             .control_ = a.Control(),
-                                                             .zone_ = a.Zone() });
-  Endpoint ledger({ .id_ = "i-ledger",
-                    .service_ = "ledger",
-                    .address_ = b.App(),
-                    .control_ = b.Control(),
-                    .zone_ = b.Zone() });
-  Endpoint cartoons({ .id_ = "i-cartoons",
-                      .service_ = "cartoons",
-                      .address_ = c.App(),
-                      .control_ = c.Control(),
-                      .zone_ = c.Zone() });
-  for (Machine* machine : all) {
+  Machine d("sidecar-d", "portobello", "cartoons", 4, StoreAddress());
+  Silence silence;
+  const Silence none;
+  Endpoint* dark = nullptr;
+  Endpoint* sound = nullptr;
+  Endpoint* last = nullptr;
+  Endpoint portal({ .id_ = "i-portal",
+                    .service_ = "portal",
+                    .address_ = a.App(),
+                    .control_ = a.Control(),
+                    .zone_ = a.Zone() });
+  Endpoint first({ .id_ = "i-dark",
+                   .service_ = "cartoons",
+                   .address_ = b.App(),
+                   .control_ = b.Control(),
+                   .zone_ = b.Zone() },
+                 [&](Connection& aConnection, const Message& aRequest) {
+                   return Serve(*dark, aConnection, aRequest, silence);
+                 });
+  Endpoint second({ .id_ = "i-sound",
+                    .service_ = "cartoons",
+                    .address_ = c.App(),
+                    .control_ = c.Control(),
+                    .zone_ = c.Zone() },
+                  [&](Connection& aConnection, const Message& aRequest) {
+                    return Serve(*sound, aConnection, aRequest, none);
+                  });
+  Endpoint third({ .id_ = "i-third",
+                   .service_ = "cartoons",
+                   .address_ = d.App(),
+                   .control_ = d.Control(),
+                   .zone_ = d.Zone() },
+                 [&](Connection& aConnection, const Message& aRequest) {
+                   return Serve(*last, aConnection, aRequest, none);
+                 });
+  dark = &first;
+  last = &third;
+  sound = &second;
+  // A request that arrives in the silence is not read.
+  first.SetOnHead([&](Connection& aConnection, const Message&) {
+    const bool passes = silence.Pass();
+    if (!passes) {
+      aConnection.ResetAtEnd();
+    }
+    return !passes;
+  });
+  for (Machine* machine : { &a, &b, &c, &d }) {
     machine->Start();
   }
-  for (Machine* machine : all) {
+  for (Machine* machine : { &a, &b, &c, &d }) {
     machine->WaitUntilReady(milliseconds(10000));
   }
-  SleepFor(milliseconds(1500));
-  if (Send(a, "POST", "/ledger/first").status_ != 200) {
-    throw CannotRun{ "the mesh does not serve" };
-  }
-  std::unique_ptr<Endpoint> replacement;
+  // Longer than the stability window: all machines are in touch.
+  SleepFor(milliseconds(5000));
+  std::vector<std::thread> clients;
+  std::vector<Sent> downloads(kDownloads);
+  Send(downloads, clients, a, "GET", "/files/", 0);
+  SleepFor(milliseconds(450));
   if (Trouble()) {
-    first->StopReports();
-    (void)first->SendLeave();
-    SleepFor(kReuseAfter);
-    first->Crash();
-    SleepFor(kReuseAfter);
-    a.SetService("cartoons");
-    a.Signal(SIGHUP);
-    replacement = std::make_unique<Endpoint>(Endpoint::Options{ .id_ = "i-replacement",
-                                                                .service_ = "cartoons",
-                                                                .address_ = a.App(),
-                                                                .control_ = a.Control(),
-                                                                .zone_ = a.Zone() });
+    silence.Begin();
+    SleepFor(kSilence);
+    silence.End();
   }
-  // Longer than config_apply_ms and the stability window together.
-  SleepFor(milliseconds(6000));
-  if (replacement) {
-    for (int i = 0; i < 40 && replacement->Runs().empty(); ++i) {
-      (void)Send(b, "GET", "/cartoons/" + std::to_string(i));
-    }
-    if (replacement->Runs().empty()) {
-      throw CannotRun{ "the replacement gets no work" };
-    }
+  Join(clients);
+  SleepFor(milliseconds(5000));
+  std::vector<Sent> uploads(kUploads);
+  if (Trouble()) {
+    silence.Begin();
   }
-  const double from = Record::Get().Seconds();
-  for (int i = 0; i < kRequests; ++i) {
-    (void)Send(a, "POST", "/ledger/" + std::to_string(i));
-    SleepFor(milliseconds(50));
+  Send(uploads, clients, b, "POST", "/proofs/", kUploadBytes);
+  if (Trouble()) {
+    SleepFor(kSilence);
+    silence.End();
   }
-  int wrong = 0;
-  int run = 0;
-  for (const Run& one : ledger.Runs()) {
-    if (one.at_ > from) {
-      ++run;
-      wrong += one.caller_ != a.Service() ? 1 : 0;
+  Join(clients);
+  std::size_t longer = 0;
+  std::size_t unfinished = 0;
+  const double timeout = kTimeoutMs / 1000.0;
+  const double due = timeout + std::chrono::duration<double>(kGrace).count();
+  for (const auto* sent : { &downloads, &uploads }) {
+    for (const Sent& one : *sent) {
+      Note(std::string(sent == &downloads ? "download " : "upload ") + one.id_ + " -> " +
+           std::to_string(one.answer_.status_) +
+           (one.answer_.complete_ ? ", complete, " : ", not complete, ") + "end after " +
+           std::to_string(one.took_.count()) + " s");
+      longer += one.took_.count() > timeout ? 1 : 0;
+      unfinished += one.took_.count() > due ? 1 : 0;
     }
   }
-  Note(std::to_string(wrong) + " of " + std::to_string(run) + " requests of " + a.Name() +
-       ", whose service is " + a.Service() + ", ran with another Caller-Service");
-  if (run == 0) {
-    throw CannotRun{ "no request was run" };
-  }
-  return wrong > 0 ? kBroken : kHeld;
+  Note(std::to_string(longer) + " requests lasted longer than timeout_ms; " +
+       std::to_string(unfinished) + " of them had no final answer 0.5 s after it");
+  return unfinished >= kLeastUnfinished && unfinished * 4 > longer ? kBroken : kHeld;
 }
 
 } // namespace
--- a/review/stand_in/harness.cc
+++ b/review/stand_in/harness.cc
@@ -847,6 +847,16 @@
   Note("settings of " + name_ + ": service is " + service_);
 }
 
+int Machine::PipeOutput()
+{
+  int ends[2];
+  if (::pipe2(ends, O_CLOEXEC) != 0) {
+    throw CannotRun{ "no pipe" };
+  }
+  output_ = ends[1];
+  return ends[0];
+}
+
 void Machine::Start()
 {
   WriteSettings();
@@ -856,7 +866,8 @@
   const std::string log = Folder() + "/" + name_ + ".log";
   const pid_t pid = ::fork();
   if (pid == 0) {
-    const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int file =
+      output_ >= 0 ? output_ : ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(file, 1);
     ::dup2(file, 2);
     ::execl("target/bin/hemlockproxy",
--- a/review/stand_in/harness.hh
+++ b/review/stand_in/harness.hh
@@ -263,6 +263,9 @@
           std::string aStore);
   ~Machine();
 
+  /// Gives the process a pipe as standard output and error from its next start on; returns the end
+  /// to read from.
+  int PipeOutput();
   void Start();
   void Signal(int aSignal);
   /// Waits for the end of the process; kills it after the limit. Returns whether it ended by
@@ -294,6 +297,7 @@
   std::string store_;
   int adminPort_;
   std::string settings_;
+  int output_ = -1;
   pid_t pid_ = -1;
 };
 
