--- a/packages/daemon/include/hemlockproxy/daemon/Dialect.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Dialect.h
@@ -24,6 +24,8 @@
   std::string id_;
   /// How long the caller waits; nothing when it does not say.
   std::optional<std::chrono::milliseconds> timeLeft_;
+  /// The hash of the customer's key; nothing where the request carries none.
+  std::optional<model::Digest> key_;
 };
 
 /// What a backend server is told with a request.
@@ -35,6 +37,8 @@
   model::BackendId expected_;
   /// The service that runs on the instance where the request began.
   model::ServiceName callerService_;
+  /// The customer whose key the request carried; empty without one.
+  model::CustomerName customer_;
 };
 
 /// What a response of a backend server means.
@@ -85,6 +89,9 @@
   virtual void WriteBackendRequest(runtime::RequestHeader& aHeader,
                                    const BackendRequest& aRequest) const = 0;
 
+  /// Removes a customer's key, and the name of a customer that the caller may have set.
+  virtual void RemoveCustomerFields(runtime::RequestHeader& /*aHeader*/) const {}
+
   /// Interprets the header of a response to the request with the given id.
   [[nodiscard]] virtual BackendResponse ReadBackendResponse(const runtime::ResponseHeader& aHeader,
                                                             std::string_view aRequestId) const = 0;
--- a/packages/daemon/include/hemlockproxy/daemon/EntryService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/EntryService.h
@@ -116,6 +116,9 @@
   /// Makes one attempt, with a second one beside it if need be, and decides whether another may
   /// follow; waits for the backoff before it returns.
   [[nodiscard]] ForwardResult TryOnce(Call& aCall);
+  /// Returns whether a newer configuration than that of the request's arrival has withdrawn its
+  /// key.
+  [[nodiscard]] bool KeyWithdrawn(const Call& aCall) const;
   /// Takes in an attempt that was not answered.
   void NoteFailure(Call& aCall, const model::DaemonId& aEndpoint, const UpstreamReply& aReply);
   /// Returns whether another attempt follows one that was not answered; takes from the budget.
--- a/packages/daemon/include/hemlockproxy/daemon/Upstream.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Upstream.h
@@ -33,6 +33,8 @@
 /// Present with the value 1 in the responses of a backend server that leaves.
 inline constexpr const char* kLeavingField = "Hemlock-Leaving";
 inline constexpr const char* kCallerField = "Hemlock-Caller";
+/// The customer whose key the entry found with the request; between daemons.
+inline constexpr const char* kCustomerField = "Hemlock-Customer";
 inline constexpr const char* kKeyField = "Idempotency-Key";
 
 /// The part of a request body that is read before a request is sent on, in bytes. A request whose
@@ -66,6 +68,8 @@
   model::ServiceName service_;
   /// The service on the instance where the request began; may be empty.
   model::ServiceName callerService_;
+  /// The customer whose key the request carried; empty without one.
+  model::CustomerName customer_;
   WorkClass work_;
   /// Identifies the caller's attempt; empty where callers send no ids.
   std::string id_;
--- a/packages/daemon/src/Delivery.cpp
+++ b/packages/daemon/src/Delivery.cpp
@@ -22,9 +22,11 @@
 
 /// Statuses of reasons that differ from the outcome's usual one. A status that says that a request
 /// has not run stands for that outcome only.
-constexpr std::array<ReasonStatus, 11> kReasonStatuses = { {
+constexpr std::array<ReasonStatus, 13> kReasonStatuses = { {
   { RequestOutcome::NotRun, RefusalReason::NoRoute, http::status::not_found },
   { RequestOutcome::NotRun, RefusalReason::RateLimited, http::status::too_many_requests },
+  { RequestOutcome::NotRun, RefusalReason::AllowanceUsed, http::status::too_many_requests },
+  { RequestOutcome::NotRun, RefusalReason::UnknownKey, http::status::unauthorized },
   { RequestOutcome::NotRun, RefusalReason::KeyRequired, http::status::bad_request },
   { RequestOutcome::NotRun, RefusalReason::KeyMismatch, http::status::unprocessable_entity },
   { RequestOutcome::NotRun, RefusalReason::BodyTooLarge, http::status::payload_too_large },
--- a/packages/daemon/src/EntryAttempts.cpp
+++ b/packages/daemon/src/EntryAttempts.cpp
@@ -118,6 +118,9 @@
   if (started >= aCall.request_.deadline_) {
     return { Refused(RequestOutcome::NotRun, RefusalReason::DeadlineTooShort), false };
   }
+  if (KeyWithdrawn(aCall)) {
+    return { Refused(RequestOutcome::NotRun, RefusalReason::UnknownKey), false };
+  }
   auto choice = target.chooser_->Choose(started, random_, aCall.tried_);
   if (!choice) {
     return { Refused(RequestOutcome::NotRun, choice.Error()), false };
@@ -151,6 +154,16 @@
   return { std::move(reply), true };
 }
 
+bool EntryService::KeyWithdrawn(const Call& aCall) const
+{
+  if (!aCall.neededKey_) {
+    return false;
+  }
+  const auto routes = views_.Load()->routes_;
+  return routes && routes->Customers().NeedsKeys() &&
+         routes->Customers().Find(*aCall.neededKey_) == nullptr;
+}
+
 void EntryService::NoteFailure(Call& aCall,
                                const model::DaemonId& aEndpoint,
                                const UpstreamReply& aReply)
@@ -382,6 +395,9 @@
   if (!request.callerService_.Empty()) {
     request.header_.set(kCallerField, request.callerService_.Value());
   }
+  if (!request.customer_.Empty()) {
+    request.header_.set(kCustomerField, request.customer_.Value());
+  }
   if (!request.evidence_.empty()) {
     request.header_.set(kQuarantineField, ToHex(request.evidence_));
   }
--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -45,6 +45,36 @@
   return work;
 }
 
+/// The customer of a request, and whether it needs one that is not known.
+struct CustomerLookup
+{
+  const model::Customer* customer_ = nullptr;
+  bool unknown_ = false;
+};
+
+CustomerLookup FindCustomer(const decisions::RouteIndex& aRoutes,
+                            const model::RouteRule& aRule,
+                            const CallerRequest& aCaller)
+{
+  if (!aRoutes.Customers().NeedsKeys()) {
+    return {};
+  }
+  const auto* customer = aCaller.key_ ? aRoutes.Customers().Find(*aCaller.key_) : nullptr;
+  return { customer, customer == nullptr && !aRule.public_ };
+}
+
+/// The customer's priority goes first, and the route's orders the requests of equal customers.
+std::uint32_t PriorityOf(const model::Customer& aCustomer, const model::RouteRule& aRule)
+{
+  constexpr std::uint32_t kRoutePriorities = 16;
+  constexpr std::uint32_t kMostPriority = 1024;
+  if (!aCustomer.priority_) {
+    return aRule.priority_;
+  }
+  return std::min(*aCustomer.priority_, kMostPriority) * kRoutePriorities +
+         std::min(aRule.priority_, kRoutePriorities - 1);
+}
+
 } // namespace
 
 EntryService::EntryService(const runtime::IoContextPtr& aIo,
@@ -211,9 +241,9 @@
   const auto host = received[http::field::host];
   const model::RouteRule* found = aView.routes_->Find(
     { host.data(), host.size() }, { method.data(), method.size() }, { path.data(), path.size() });
+  const bool outdated = aCall.started_ - views_.CurrentAsOf() >= options_.applyWithin_;
   if (found == nullptr) {
     // A newer version, which this daemon should have by now, may have the route.
-    const bool outdated = aCall.started_ - views_.CurrentAsOf() >= options_.applyWithin_;
     return Refused(RequestOutcome::NotRun,
                    outdated ? RefusalReason::ConfigurationOutdated : RefusalReason::NoRoute);
   }
@@ -231,16 +261,27 @@
   if (const auto length = aExchange.BodyLength(); length && *length > aCall.bodyLimit_) {
     return Refused(RequestOutcome::NotRun, RefusalReason::BodyTooLarge);
   }
+  const CallerRequest caller = options_.dialect_->ReadCallerRequest(received);
+  const auto [customer, unknown] = FindCustomer(*aView.routes_, rule, caller);
+  if (unknown) {
+    // A newer version, which this daemon should have by now, may list the key.
+    return Refused(RequestOutcome::NotRun,
+                   outdated ? RefusalReason::ConfigurationOutdated : RefusalReason::UnknownKey);
+  }
   if (rule.keyRequired_ && received[kKeyField].empty()) {
     return Refused(RequestOutcome::NotRun, RefusalReason::KeyRequired);
   }
-  const CallerRequest caller = options_.dialect_->ReadCallerRequest(received);
   aCall.request_.service_ = target;
   aCall.request_.callerService_ = options_.callerService_;
   aCall.request_.id_ = caller.id_;
   aCall.request_.deadline_ =
     aCall.started_ + std::min(caller.timeLeft_.value_or(rule.timeout_), rule.timeout_);
   aCall.request_.work_ = WorkOf(rule, aCall.started_, aCall.request_.deadline_);
+  if (customer != nullptr) {
+    aCall.request_.customer_ = customer->name_;
+    aCall.neededKey_ = rule.public_ ? std::nullopt : caller.key_;
+    aCall.request_.work_.priority_ = PriorityOf(*customer, rule);
+  }
   aCall.repeatable_ = model::IsRepeatable(rule, { method.data(), method.size() })
                         ? decisions::Repeatable::Yes
                         : decisions::Repeatable::No;
@@ -250,6 +291,9 @@
   aCall.request_.header_ = received;
   runtime::RemoveHopByHopFields(aCall.request_.header_);
   RemoveHemlockFields(aCall.request_.header_);
+  if (aView.routes_->Customers().NeedsKeys()) {
+    options_.dialect_->RemoveCustomerFields(aCall.request_.header_);
+  }
   aCall.request_.header_.erase(http::field::expect);
   return Refused(RequestOutcome::NotRun, RefusalReason::None);
 }
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -345,7 +345,8 @@
   metrics_.Add(runtime::Counter::RequestsOwned);
   const auto started = std::chrono::steady_clock::now();
   options_.dialect_->WriteBackendRequest(
-    aRequest.header_, { TimeLeft(aRequest.deadline_), aBackend.id_, aRequest.callerService_ });
+    aRequest.header_,
+    { TimeLeft(aRequest.deadline_), aBackend.id_, aRequest.callerService_, aRequest.customer_ });
   UpstreamReply reply = RunExchange(pool_, aBackend.address_, aRequest, options_.exchange_);
   if (reply.status_) {
     NoteStatus(aBackend, *reply.status_, started);
@@ -508,6 +509,7 @@
   request.service_ = model::ServiceName(std::string(received[kServiceField]));
   request.deadline_ = started + impl::DeadlineOf(received, impl::kDefaultDeadline);
   request.callerService_ = model::ServiceName(std::string(received[kCallerField]));
+  request.customer_ = model::CustomerName(std::string(received[kCustomerField]));
   const auto work = received[kClassField];
   request.work_ = WorkClassOf({ work.data(), work.size() }, started, request.deadline_);
   request.evidence_ = FromHex(std::string(received[kQuarantineField]));
--- a/packages/daemon/src/impl/EntryCall.h
+++ b/packages/daemon/src/impl/EntryCall.h
@@ -67,6 +67,9 @@
   bool hadSecond_ = false;
   model::TimePoint started_;
 
+  /// The hash of the key without which the request may not run; nothing where it needs none.
+  std::optional<model::Digest> neededKey_;
+
   /// The configuration version by which the request is handled.
   model::ConfigVersion version_;
 
--- a/packages/daemon/tests/TrafficFixture.h
+++ b/packages/daemon/tests/TrafficFixture.h
@@ -122,12 +122,13 @@
                                                Surroundings& aSurroundings,
                                                const model::Address& aBackend,
                                                std::uint32_t aSlots = 4,
-                                               std::uint64_t aLinkBytesPerSecond = 0)
+                                               std::uint64_t aLinkBytesPerSecond = 0,
+                                               DialectPtr aDialect = MakeHemlockDialect())
 {
   OwnerOptions options;
   options.link_.bytesPerSecond_ = aLinkBytesPerSecond;
   options.self_ = model::DaemonId("owner");
-  options.dialect_ = MakeHemlockDialect();
+  options.dialect_ = std::move(aDialect);
   auto owner = std::make_unique<OwnerService>(
     aIo,
     std::move(options),
@@ -173,11 +174,12 @@
 
 inline std::unique_ptr<EntryService> MakeEntry(const runtime::IoContextPtr& aIo,
                                                Surroundings& aSurroundings,
-                                               OwnerService& aOwner)
+                                               OwnerService& aOwner,
+                                               DialectPtr aDialect = MakeHemlockDialect())
 {
   EntryOptions options;
   options.self_ = model::DaemonId("entry");
-  options.dialect_ = MakeHemlockDialect();
+  options.dialect_ = std::move(aDialect);
   return std::make_unique<EntryService>(
     aIo, std::move(options), aSurroundings.views_, aOwner, aSurroundings.metrics_);
 }
--- a/packages/decisions/include/hemlockproxy/decisions/DistributionMessages.h
+++ b/packages/decisions/include/hemlockproxy/decisions/DistributionMessages.h
@@ -45,7 +45,7 @@
 /// Asks a peer for the highest version that it holds.
 struct FetchRequest
 {
-  /// Digests of the resources that need not be sent.
+  /// Digests of the resources, and of the list of customers, that need not be sent.
   std::vector<model::Digest> held_;
   bool handoverWanted_ = false;
 };
@@ -61,6 +61,10 @@
   /// Set when it was asked for and the sender has it.
   HandoverPtr handover_;
   model::CallerLimits callerLimits_;
+  /// The list of customers of the version; nothing where it has none.
+  std::optional<model::Digest> customersDigest_;
+  /// Null where the requester holds the list already.
+  model::CustomerListPtr customers_;
 };
 
 } // namespace hemlockproxy::decisions
--- a/packages/decisions/include/hemlockproxy/decisions/RouteIndex.h
+++ b/packages/decisions/include/hemlockproxy/decisions/RouteIndex.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockproxy/decisions/CustomerIndex.h"
 #include "hemlockproxy/model/Config.h"
 
 #include <cstddef>
@@ -32,6 +33,8 @@
   {
     return *configuration_;
   }
+  /// Returns the customers of the same version.
+  [[nodiscard]] const CustomerIndex& Customers() const noexcept { return customers_; }
 
 private:
   using Rules = std::vector<const model::RouteRule*>;
@@ -49,6 +52,7 @@
                                                       std::string_view aPath);
 
   model::ConfigurationPtr configuration_;
+  CustomerIndex customers_;
   std::unordered_map<std::string, Host> hosts_;
 };
 
--- a/packages/decisions/src/RouteIndex.cpp
+++ b/packages/decisions/src/RouteIndex.cpp
@@ -27,6 +27,7 @@
 
 RouteIndex::RouteIndex(model::ConfigurationPtr aConfiguration)
   : configuration_(std::move(aConfiguration))
+  , customers_(configuration_->customers_)
 {
   for (const auto& [name, resource] : configuration_->content_) {
     for (const model::RouteRule& rule : resource->config_.routes_) {
--- a/packages/decisions/src/impl/DistributionFetch.cpp
+++ b/packages/decisions/src/impl/DistributionFetch.cpp
@@ -44,6 +44,9 @@
     for (const auto& [name, resource] : held_->content_) {
       request.held_.push_back(resource->digest_);
     }
+    if (held_->customers_) {
+      request.held_.push_back(held_->customers_->digest_);
+    }
   }
   // Only log readers need the replay state, and it is far larger than a change.
   request.handoverWanted_ = reading_ || roster_.Rank() < options_.logReaders_;
@@ -100,13 +103,19 @@
   if (held_) {
     response.version_ = held_->version_;
     response.callerLimits_ = held_->callerLimits_;
+    const auto lacks = [&known = aEvent.request_.held_](const model::Digest& aDigest) {
+      return std::find(known.begin(), known.end(), aDigest) == known.end();
+    };
     for (const auto& [name, resource] : held_->content_) {
       response.manifest_.emplace_back(name, resource->digest_);
-      const auto& known = aEvent.request_.held_;
-      if (std::find(known.begin(), known.end(), resource->digest_) == known.end()) {
+      if (lacks(resource->digest_)) {
         response.resources_.push_back(resource);
       }
     }
+    if (const auto& customers = held_->customers_) {
+      response.customersDigest_ = customers->digest_;
+      response.customers_ = lacks(customers->digest_) ? customers : nullptr;
+    }
     if (aEvent.request_.handoverWanted_) {
       response.handover_ = handover_;
     }
@@ -155,6 +164,15 @@
   auto configuration = std::make_shared<model::Configuration>();
   configuration->version_ = aResponse.version_;
   configuration->callerLimits_ = aResponse.callerLimits_;
+  if (aResponse.customersDigest_) {
+    configuration->customers_ = aResponse.customers_ ? aResponse.customers_
+                                : held_              ? held_->customers_
+                                                     : nullptr;
+    if (!configuration->customers_ ||
+        configuration->customers_->digest_ != *aResponse.customersDigest_) {
+      return nullptr;
+    }
+  }
   for (const auto& [name, digest] : aResponse.manifest_) {
     const auto found = available.find(digest);
     if (found == available.end() || found->second->config_.name_ != name) {
--- a/packages/model/include/hemlockproxy/model/Config.h
+++ b/packages/model/include/hemlockproxy/model/Config.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockproxy/model/Customer.h"
 #include "hemlockproxy/model/Digest.h"
 #include "hemlockproxy/model/Ids.h"
 
@@ -48,6 +49,8 @@
   std::chrono::milliseconds latencyTarget_{ 0 };
   /// Endpoints that one request may be sent to; 0 means by the service's retry rule.
   std::uint32_t attempts_ = 0;
+  /// Whether requests need no key where the configuration lists customers.
+  bool public_ = false;
 
   friend bool operator==(const RouteRule&, const RouteRule&) = default;
 };
@@ -129,6 +132,7 @@
   ConfigVersion version_;
   ConfigContent content_;
   CallerLimits callerLimits_;
+  CustomerListPtr customers_;
 };
 
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
--- a/packages/model/include/hemlockproxy/model/Fwd.h
+++ b/packages/model/include/hemlockproxy/model/Fwd.h
@@ -10,6 +10,8 @@
 struct ClaimEntry;
 struct ClaimRecord;
 struct Configuration;
+struct Customer;
+struct CustomerList;
 struct Digest;
 struct Endpoint;
 struct Event;
--- a/packages/model/include/hemlockproxy/model/Ids.h
+++ b/packages/model/include/hemlockproxy/model/Ids.h
@@ -9,6 +9,8 @@
 using DaemonId = StrongString<struct DaemonIdTag>;
 using ServiceName = StrongString<struct ServiceNameTag>;
 using FailureDomain = StrongString<struct FailureDomainTag>;
+/// Names a customer of the mesh.
+using CustomerName = StrongString<struct CustomerNameTag>;
 using Region = StrongString<struct RegionTag>;
 /// Names one start of a backend server; a restarted one usually has another id.
 using BackendId = StrongString<struct BackendIdTag>;
--- a/packages/model/include/hemlockproxy/model/Model.h
+++ b/packages/model/include/hemlockproxy/model/Model.h
@@ -9,6 +9,7 @@
 #include "hemlockproxy/model/Config.h"
 #include "hemlockproxy/model/ConfigBounds.h"
 #include "hemlockproxy/model/ConfigRecord.h"
+#include "hemlockproxy/model/Customer.h"
 #include "hemlockproxy/model/Digest.h"
 #include "hemlockproxy/model/Duration.h"
 #include "hemlockproxy/model/Event.h"
--- a/packages/model/include/hemlockproxy/model/RequestOutcome.h
+++ b/packages/model/include/hemlockproxy/model/RequestOutcome.h
@@ -48,10 +48,14 @@
   CallerFailed,
   /// The caller closed its connection before its request was passed on.
   CallerLeft,
+  /// The request carries no key, or none that the configuration lists.
+  UnknownKey,
+  /// The customer's allowance is used up.
+  AllowanceUsed,
 };
 
 /// The last value, for loops over all reasons.
-inline constexpr RefusalReason kLastRefusalReason = RefusalReason::CallerLeft;
+inline constexpr RefusalReason kLastRefusalReason = RefusalReason::AllowanceUsed;
 
 /// Returns the reason as sent in headers, such as "queue-full".
 [[nodiscard]] const char* ToString(RefusalReason aReason) noexcept;
--- a/packages/model/src/Config.cpp
+++ b/packages/model/src/Config.cpp
@@ -65,6 +65,10 @@
     AppendField(text, std::to_string(route.priority_));
     AppendField(text, std::to_string(route.latencyTarget_.count()));
     AppendField(text, std::to_string(route.attempts_));
+    if (route.public_) {
+      // Left out elsewhere, so that daemons that do not know it compute the same digest.
+      AppendField(text, "public");
+    }
   }
   for (const auto& [kind, value] : aConfig.limits_) {
     AppendField(text, LimitKey(kind));
--- a/packages/model/src/RequestOutcome.cpp
+++ b/packages/model/src/RequestOutcome.cpp
@@ -51,6 +51,10 @@
       return "caller-failed";
     case RefusalReason::CallerLeft:
       return "caller-left";
+    case RefusalReason::UnknownKey:
+      return "unknown-key";
+    case RefusalReason::AllowanceUsed:
+      return "allowance-used";
   }
   return "unknown";
 }
--- a/packages/wire/gen/config_types.cpp
+++ b/packages/wire/gen/config_types.cpp
@@ -195,6 +195,11 @@
   this->attempts = val;
 __isset.attempts = true;
 }
+
+void Route::__set_is_public(const bool val) {
+  this->is_public = val;
+__isset.is_public = true;
+}
 std::ostream& operator<<(std::ostream& out, const Route& obj)
 {
   obj.printTo(out);
@@ -343,6 +348,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_public);
+          this->__isset.is_public = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -431,6 +444,11 @@
     xfer += oprot->writeI32(this->attempts);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.is_public) {
+    xfer += oprot->writeFieldBegin("is_public", ::apache::thrift::protocol::T_BOOL, 13);
+    xfer += oprot->writeBool(this->is_public);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -450,6 +468,7 @@
   swap(a.priority, b.priority);
   swap(a.latency_target_ms, b.latency_target_ms);
   swap(a.attempts, b.attempts);
+  swap(a.is_public, b.is_public);
   swap(a.__isset, b.__isset);
 }
 
@@ -466,6 +485,7 @@
   priority = other16.priority;
   latency_target_ms = other16.latency_target_ms;
   attempts = other16.attempts;
+  is_public = other16.is_public;
   __isset = other16.__isset;
 }
 Route::Route(Route&& other17) noexcept {
@@ -481,6 +501,7 @@
   priority = other17.priority;
   latency_target_ms = other17.latency_target_ms;
   attempts = other17.attempts;
+  is_public = other17.is_public;
   __isset = other17.__isset;
 }
 Route& Route::operator=(const Route& other18) {
@@ -496,6 +517,7 @@
   priority = other18.priority;
   latency_target_ms = other18.latency_target_ms;
   attempts = other18.attempts;
+  is_public = other18.is_public;
   __isset = other18.__isset;
   return *this;
 }
@@ -512,6 +534,7 @@
   priority = other19.priority;
   latency_target_ms = other19.latency_target_ms;
   attempts = other19.attempts;
+  is_public = other19.is_public;
   __isset = other19.__isset;
   return *this;
 }
@@ -530,6 +553,7 @@
   out << ", " << "priority="; (__isset.priority ? (out << to_string(priority)) : (out << "<null>"));
   out << ", " << "latency_target_ms="; (__isset.latency_target_ms ? (out << to_string(latency_target_ms)) : (out << "<null>"));
   out << ", " << "attempts="; (__isset.attempts ? (out << to_string(attempts)) : (out << "<null>"));
+  out << ", " << "is_public="; (__isset.is_public ? (out << to_string(is_public)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1002,6 +1026,197 @@
 }
 
 
+Customer::~Customer() noexcept {
+}
+
+
+void Customer::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void Customer::__set_keys(const std::string& val) {
+  this->keys = val;
+}
+
+void Customer::__set_priority(const int32_t val) {
+  this->priority = val;
+__isset.priority = true;
+}
+
+void Customer::__set_rate_per_second(const double val) {
+  this->rate_per_second = val;
+}
+
+void Customer::__set_burst(const double val) {
+  this->burst = val;
+}
+std::ostream& operator<<(std::ostream& out, const Customer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Customer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->keys);
+          this->__isset.keys = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate_per_second);
+          this->__isset.rate_per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burst);
+          this->__isset.burst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Customer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Customer");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->keys);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.priority) {
+    xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->priority);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("rate_per_second", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->rate_per_second);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->burst);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Customer &a, Customer &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.keys, b.keys);
+  swap(a.priority, b.priority);
+  swap(a.rate_per_second, b.rate_per_second);
+  swap(a.burst, b.burst);
+  swap(a.__isset, b.__isset);
+}
+
+Customer::Customer(const Customer& other48) {
+  name = other48.name;
+  keys = other48.keys;
+  priority = other48.priority;
+  rate_per_second = other48.rate_per_second;
+  burst = other48.burst;
+  __isset = other48.__isset;
+}
+Customer::Customer(Customer&& other49) noexcept {
+  name = std::move(other49.name);
+  keys = std::move(other49.keys);
+  priority = other49.priority;
+  rate_per_second = other49.rate_per_second;
+  burst = other49.burst;
+  __isset = other49.__isset;
+}
+Customer& Customer::operator=(const Customer& other50) {
+  name = other50.name;
+  keys = other50.keys;
+  priority = other50.priority;
+  rate_per_second = other50.rate_per_second;
+  burst = other50.burst;
+  __isset = other50.__isset;
+  return *this;
+}
+Customer& Customer::operator=(Customer&& other51) noexcept {
+  name = std::move(other51.name);
+  keys = std::move(other51.keys);
+  priority = other51.priority;
+  rate_per_second = other51.rate_per_second;
+  burst = other51.burst;
+  __isset = other51.__isset;
+  return *this;
+}
+void Customer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Customer(";
+  out << "name=" << to_string(name);
+  out << ", " << "keys=" << to_string(keys);
+  out << ", " << "priority="; (__isset.priority ? (out << to_string(priority)) : (out << "<null>"));
+  out << ", " << "rate_per_second=" << to_string(rate_per_second);
+  out << ", " << "burst=" << to_string(burst);
+  out << ")";
+}
+
+
 LimitFloor::~LimitFloor() noexcept {
 }
 
@@ -1111,30 +1326,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitFloor::LimitFloor(const LimitFloor& other48) {
-  service_name = other48.service_name;
-  kind = other48.kind;
-  value = other48.value;
-  __isset = other48.__isset;
+LimitFloor::LimitFloor(const LimitFloor& other52) {
+  service_name = other52.service_name;
+  kind = other52.kind;
+  value = other52.value;
+  __isset = other52.__isset;
 }
-LimitFloor::LimitFloor(LimitFloor&& other49) noexcept {
-  service_name = std::move(other49.service_name);
-  kind = other49.kind;
-  value = other49.value;
-  __isset = other49.__isset;
+LimitFloor::LimitFloor(LimitFloor&& other53) noexcept {
+  service_name = std::move(other53.service_name);
+  kind = other53.kind;
+  value = other53.value;
+  __isset = other53.__isset;
 }
-LimitFloor& LimitFloor::operator=(const LimitFloor& other50) {
-  service_name = other50.service_name;
-  kind = other50.kind;
-  value = other50.value;
-  __isset = other50.__isset;
+LimitFloor& LimitFloor::operator=(const LimitFloor& other54) {
+  service_name = other54.service_name;
+  kind = other54.kind;
+  value = other54.value;
+  __isset = other54.__isset;
   return *this;
 }
-LimitFloor& LimitFloor::operator=(LimitFloor&& other51) noexcept {
-  service_name = std::move(other51.service_name);
-  kind = other51.kind;
-  value = other51.value;
-  __isset = other51.__isset;
+LimitFloor& LimitFloor::operator=(LimitFloor&& other55) noexcept {
+  service_name = std::move(other55.service_name);
+  kind = other55.kind;
+  value = other55.value;
+  __isset = other55.__isset;
   return *this;
 }
 void LimitFloor::printTo(std::ostream& out) const {
@@ -1239,26 +1454,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Publication::Publication(const Publication& other52) {
-  id = other52.id;
-  version = other52.version;
-  __isset = other52.__isset;
+Publication::Publication(const Publication& other56) {
+  id = other56.id;
+  version = other56.version;
+  __isset = other56.__isset;
 }
-Publication::Publication(Publication&& other53) noexcept {
-  id = std::move(other53.id);
-  version = other53.version;
-  __isset = other53.__isset;
+Publication::Publication(Publication&& other57) noexcept {
+  id = std::move(other57.id);
+  version = other57.version;
+  __isset = other57.__isset;
 }
-Publication& Publication::operator=(const Publication& other54) {
-  id = other54.id;
-  version = other54.version;
-  __isset = other54.__isset;
+Publication& Publication::operator=(const Publication& other58) {
+  id = other58.id;
+  version = other58.version;
+  __isset = other58.__isset;
   return *this;
 }
-Publication& Publication::operator=(Publication&& other55) noexcept {
-  id = std::move(other55.id);
-  version = other55.version;
-  __isset = other55.__isset;
+Publication& Publication::operator=(Publication&& other59) noexcept {
+  id = std::move(other59.id);
+  version = other59.version;
+  __isset = other59.__isset;
   return *this;
 }
 void Publication::printTo(std::ostream& out) const {
@@ -1341,14 +1556,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->resources.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->resources.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->resources.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->resources[_i60].read(iprot);
+              xfer += this->resources[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1361,14 +1576,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->floors.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->floors.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->floors.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += this->floors[_i65].read(iprot);
+              xfer += this->floors[_i69].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1381,14 +1596,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->recent.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->recent.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->recent.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->recent[_i70].read(iprot);
+              xfer += this->recent[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1425,10 +1640,10 @@
   xfer += oprot->writeFieldBegin("resources", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->resources.size()));
-    std::vector<Resource> ::const_iterator _iter71;
-    for (_iter71 = this->resources.begin(); _iter71 != this->resources.end(); ++_iter71)
+    std::vector<Resource> ::const_iterator _iter75;
+    for (_iter75 = this->resources.begin(); _iter75 != this->resources.end(); ++_iter75)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1437,10 +1652,10 @@
   xfer += oprot->writeFieldBegin("floors", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->floors.size()));
-    std::vector<LimitFloor> ::const_iterator _iter72;
-    for (_iter72 = this->floors.begin(); _iter72 != this->floors.end(); ++_iter72)
+    std::vector<LimitFloor> ::const_iterator _iter76;
+    for (_iter76 = this->floors.begin(); _iter76 != this->floors.end(); ++_iter76)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1449,10 +1664,10 @@
   xfer += oprot->writeFieldBegin("recent", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->recent.size()));
-    std::vector<Publication> ::const_iterator _iter73;
-    for (_iter73 = this->recent.begin(); _iter73 != this->recent.end(); ++_iter73)
+    std::vector<Publication> ::const_iterator _iter77;
+    for (_iter77 = this->recent.begin(); _iter77 != this->recent.end(); ++_iter77)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1473,38 +1688,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Checkpoint::Checkpoint(const Checkpoint& other74) {
-  covered_offset = other74.covered_offset;
-  version = other74.version;
-  resources = other74.resources;
-  floors = other74.floors;
-  recent = other74.recent;
-  __isset = other74.__isset;
-}
-Checkpoint::Checkpoint(Checkpoint&& other75) noexcept {
-  covered_offset = other75.covered_offset;
-  version = other75.version;
-  resources = std::move(other75.resources);
-  floors = std::move(other75.floors);
-  recent = std::move(other75.recent);
-  __isset = other75.__isset;
-}
-Checkpoint& Checkpoint::operator=(const Checkpoint& other76) {
-  covered_offset = other76.covered_offset;
-  version = other76.version;
-  resources = other76.resources;
-  floors = other76.floors;
-  recent = other76.recent;
-  __isset = other76.__isset;
+Checkpoint::Checkpoint(const Checkpoint& other78) {
+  covered_offset = other78.covered_offset;
+  version = other78.version;
+  resources = other78.resources;
+  floors = other78.floors;
+  recent = other78.recent;
+  __isset = other78.__isset;
+}
+Checkpoint::Checkpoint(Checkpoint&& other79) noexcept {
+  covered_offset = other79.covered_offset;
+  version = other79.version;
+  resources = std::move(other79.resources);
+  floors = std::move(other79.floors);
+  recent = std::move(other79.recent);
+  __isset = other79.__isset;
+}
+Checkpoint& Checkpoint::operator=(const Checkpoint& other80) {
+  covered_offset = other80.covered_offset;
+  version = other80.version;
+  resources = other80.resources;
+  floors = other80.floors;
+  recent = other80.recent;
+  __isset = other80.__isset;
   return *this;
 }
-Checkpoint& Checkpoint::operator=(Checkpoint&& other77) noexcept {
-  covered_offset = other77.covered_offset;
-  version = other77.version;
-  resources = std::move(other77.resources);
-  floors = std::move(other77.floors);
-  recent = std::move(other77.recent);
-  __isset = other77.__isset;
+Checkpoint& Checkpoint::operator=(Checkpoint&& other81) noexcept {
+  covered_offset = other81.covered_offset;
+  version = other81.version;
+  resources = std::move(other81.resources);
+  floors = std::move(other81.floors);
+  recent = std::move(other81.recent);
+  __isset = other81.__isset;
   return *this;
 }
 void Checkpoint::printTo(std::ostream& out) const {
@@ -1615,26 +1830,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigRecord::ConfigRecord(const ConfigRecord& other78) {
-  publish = other78.publish;
-  checkpoint = other78.checkpoint;
-  __isset = other78.__isset;
+ConfigRecord::ConfigRecord(const ConfigRecord& other82) {
+  publish = other82.publish;
+  checkpoint = other82.checkpoint;
+  __isset = other82.__isset;
 }
-ConfigRecord::ConfigRecord(ConfigRecord&& other79) noexcept {
-  publish = std::move(other79.publish);
-  checkpoint = std::move(other79.checkpoint);
-  __isset = other79.__isset;
+ConfigRecord::ConfigRecord(ConfigRecord&& other83) noexcept {
+  publish = std::move(other83.publish);
+  checkpoint = std::move(other83.checkpoint);
+  __isset = other83.__isset;
 }
-ConfigRecord& ConfigRecord::operator=(const ConfigRecord& other80) {
-  publish = other80.publish;
-  checkpoint = other80.checkpoint;
-  __isset = other80.__isset;
+ConfigRecord& ConfigRecord::operator=(const ConfigRecord& other84) {
+  publish = other84.publish;
+  checkpoint = other84.checkpoint;
+  __isset = other84.__isset;
   return *this;
 }
-ConfigRecord& ConfigRecord::operator=(ConfigRecord&& other81) noexcept {
-  publish = std::move(other81.publish);
-  checkpoint = std::move(other81.checkpoint);
-  __isset = other81.__isset;
+ConfigRecord& ConfigRecord::operator=(ConfigRecord&& other85) noexcept {
+  publish = std::move(other85.publish);
+  checkpoint = std::move(other85.checkpoint);
+  __isset = other85.__isset;
   return *this;
 }
 void ConfigRecord::printTo(std::ostream& out) const {
--- a/packages/wire/gen/config_types.h
+++ b/packages/wire/gen/config_types.h
@@ -29,6 +29,8 @@
 
 class Publish;
 
+class Customer;
+
 class LimitFloor;
 
 class Publication;
@@ -90,7 +92,7 @@
 std::ostream& operator<<(std::ostream& out, const WeightedTarget& obj);
 
 typedef struct _Route__isset {
-  _Route__isset() : prefix(false), methods(false), target(false), repeatable(false), key_required(false), timeout_ms(false), host(false), name(false), split(false), priority(false), latency_target_ms(false), attempts(false) {}
+  _Route__isset() : prefix(false), methods(false), target(false), repeatable(false), key_required(false), timeout_ms(false), host(false), name(false), split(false), priority(false), latency_target_ms(false), attempts(false), is_public(false) {}
   bool prefix :1;
   bool methods :1;
   bool target :1;
@@ -103,6 +105,7 @@
   bool priority :1;
   bool latency_target_ms :1;
   bool attempts :1;
+  bool is_public :1;
 } _Route__isset;
 
 class Route : public virtual ::apache::thrift::TBase {
@@ -122,7 +125,8 @@
           name(),
           priority(0),
           latency_target_ms(0),
-          attempts(0) {
+          attempts(0),
+          is_public(0) {
   }
 
   virtual ~Route() noexcept;
@@ -138,6 +142,7 @@
   int32_t priority;
   int64_t latency_target_ms;
   int32_t attempts;
+  bool is_public;
 
   _Route__isset __isset;
 
@@ -165,6 +170,8 @@
 
   void __set_attempts(const int32_t val);
 
+  void __set_is_public(const bool val);
+
   bool operator == (const Route & rhs) const
   {
     if (!(prefix == rhs.prefix))
@@ -205,6 +212,10 @@
       return false;
     else if (__isset.attempts && !(attempts == rhs.attempts))
       return false;
+    if (__isset.is_public != rhs.__isset.is_public)
+      return false;
+    else if (__isset.is_public && !(is_public == rhs.is_public))
+      return false;
     return true;
   }
   bool operator != (const Route &rhs) const {
@@ -377,6 +388,81 @@
 
 std::ostream& operator<<(std::ostream& out, const Publish& obj);
 
+typedef struct _Customer__isset {
+  _Customer__isset() : name(false), keys(false), priority(false), rate_per_second(false), burst(false) {}
+  bool name :1;
+  bool keys :1;
+  bool priority :1;
+  bool rate_per_second :1;
+  bool burst :1;
+} _Customer__isset;
+
+class Customer : public virtual ::apache::thrift::TBase {
+ public:
+
+  Customer(const Customer&);
+  Customer(Customer&&) noexcept;
+  Customer& operator=(const Customer&);
+  Customer& operator=(Customer&&) noexcept;
+  Customer() noexcept
+           : name(),
+             keys(),
+             priority(0),
+             rate_per_second(0),
+             burst(0) {
+  }
+
+  virtual ~Customer() noexcept;
+  std::string name;
+  std::string keys;
+  int32_t priority;
+  double rate_per_second;
+  double burst;
+
+  _Customer__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_keys(const std::string& val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_rate_per_second(const double val);
+
+  void __set_burst(const double val);
+
+  bool operator == (const Customer & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(keys == rhs.keys))
+      return false;
+    if (__isset.priority != rhs.__isset.priority)
+      return false;
+    else if (__isset.priority && !(priority == rhs.priority))
+      return false;
+    if (!(rate_per_second == rhs.rate_per_second))
+      return false;
+    if (!(burst == rhs.burst))
+      return false;
+    return true;
+  }
+  bool operator != (const Customer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Customer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Customer &a, Customer &b);
+
+std::ostream& operator<<(std::ostream& out, const Customer& obj);
+
 typedef struct _LimitFloor__isset {
   _LimitFloor__isset() : service_name(false), kind(false), value(false) {}
   bool service_name :1;
--- a/packages/wire/gen/distribution_types.cpp
+++ b/packages/wire/gen/distribution_types.cpp
@@ -540,6 +540,16 @@
   this->caller_limits = val;
 __isset.caller_limits = true;
 }
+
+void FetchResponseT::__set_customers_digest(const std::string& val) {
+  this->customers_digest = val;
+__isset.customers_digest = true;
+}
+
+void FetchResponseT::__set_customers(const std::vector< ::hemlockproxy::wire::gen::Customer> & val) {
+  this->customers = val;
+__isset.customers = true;
+}
 std::ostream& operator<<(std::ostream& out, const FetchResponseT& obj)
 {
   obj.printTo(out);
@@ -640,6 +650,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->customers_digest);
+          this->__isset.customers_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->customers.clear();
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->customers.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
+            {
+              xfer += this->customers[_i38].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.customers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -664,10 +702,10 @@
   xfer += oprot->writeFieldBegin("names", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->names.size()));
-    std::vector<std::string> ::const_iterator _iter34;
-    for (_iter34 = this->names.begin(); _iter34 != this->names.end(); ++_iter34)
+    std::vector<std::string> ::const_iterator _iter39;
+    for (_iter39 = this->names.begin(); _iter39 != this->names.end(); ++_iter39)
     {
-      xfer += oprot->writeString((*_iter34));
+      xfer += oprot->writeString((*_iter39));
     }
     xfer += oprot->writeListEnd();
   }
@@ -680,10 +718,10 @@
   xfer += oprot->writeFieldBegin("resources", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->resources.size()));
-    std::vector<std::string> ::const_iterator _iter35;
-    for (_iter35 = this->resources.begin(); _iter35 != this->resources.end(); ++_iter35)
+    std::vector<std::string> ::const_iterator _iter40;
+    for (_iter40 = this->resources.begin(); _iter40 != this->resources.end(); ++_iter40)
     {
-      xfer += oprot->writeBinary((*_iter35));
+      xfer += oprot->writeBinary((*_iter40));
     }
     xfer += oprot->writeListEnd();
   }
@@ -699,6 +737,24 @@
     xfer += this->caller_limits.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.customers_digest) {
+    xfer += oprot->writeFieldBegin("customers_digest", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeBinary(this->customers_digest);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.customers) {
+    xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 8);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
+      std::vector< ::hemlockproxy::wire::gen::Customer> ::const_iterator _iter41;
+      for (_iter41 = this->customers.begin(); _iter41 != this->customers.end(); ++_iter41)
+      {
+        xfer += (*_iter41).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -712,45 +768,55 @@
   swap(a.resources, b.resources);
   swap(a.handover, b.handover);
   swap(a.caller_limits, b.caller_limits);
+  swap(a.customers_digest, b.customers_digest);
+  swap(a.customers, b.customers);
   swap(a.__isset, b.__isset);
 }
 
-FetchResponseT::FetchResponseT(const FetchResponseT& other36) {
-  version = other36.version;
-  names = other36.names;
-  digests = other36.digests;
-  resources = other36.resources;
-  handover = other36.handover;
-  caller_limits = other36.caller_limits;
-  __isset = other36.__isset;
-}
-FetchResponseT::FetchResponseT(FetchResponseT&& other37) noexcept {
-  version = other37.version;
-  names = std::move(other37.names);
-  digests = std::move(other37.digests);
-  resources = std::move(other37.resources);
-  handover = std::move(other37.handover);
-  caller_limits = std::move(other37.caller_limits);
-  __isset = other37.__isset;
-}
-FetchResponseT& FetchResponseT::operator=(const FetchResponseT& other38) {
-  version = other38.version;
-  names = other38.names;
-  digests = other38.digests;
-  resources = other38.resources;
-  handover = other38.handover;
-  caller_limits = other38.caller_limits;
-  __isset = other38.__isset;
+FetchResponseT::FetchResponseT(const FetchResponseT& other42) {
+  version = other42.version;
+  names = other42.names;
+  digests = other42.digests;
+  resources = other42.resources;
+  handover = other42.handover;
+  caller_limits = other42.caller_limits;
+  customers_digest = other42.customers_digest;
+  customers = other42.customers;
+  __isset = other42.__isset;
+}
+FetchResponseT::FetchResponseT(FetchResponseT&& other43) noexcept {
+  version = other43.version;
+  names = std::move(other43.names);
+  digests = std::move(other43.digests);
+  resources = std::move(other43.resources);
+  handover = std::move(other43.handover);
+  caller_limits = std::move(other43.caller_limits);
+  customers_digest = std::move(other43.customers_digest);
+  customers = std::move(other43.customers);
+  __isset = other43.__isset;
+}
+FetchResponseT& FetchResponseT::operator=(const FetchResponseT& other44) {
+  version = other44.version;
+  names = other44.names;
+  digests = other44.digests;
+  resources = other44.resources;
+  handover = other44.handover;
+  caller_limits = other44.caller_limits;
+  customers_digest = other44.customers_digest;
+  customers = other44.customers;
+  __isset = other44.__isset;
   return *this;
 }
-FetchResponseT& FetchResponseT::operator=(FetchResponseT&& other39) noexcept {
-  version = other39.version;
-  names = std::move(other39.names);
-  digests = std::move(other39.digests);
-  resources = std::move(other39.resources);
-  handover = std::move(other39.handover);
-  caller_limits = std::move(other39.caller_limits);
-  __isset = other39.__isset;
+FetchResponseT& FetchResponseT::operator=(FetchResponseT&& other45) noexcept {
+  version = other45.version;
+  names = std::move(other45.names);
+  digests = std::move(other45.digests);
+  resources = std::move(other45.resources);
+  handover = std::move(other45.handover);
+  caller_limits = std::move(other45.caller_limits);
+  customers_digest = std::move(other45.customers_digest);
+  customers = std::move(other45.customers);
+  __isset = other45.__isset;
   return *this;
 }
 void FetchResponseT::printTo(std::ostream& out) const {
@@ -762,6 +828,8 @@
   out << ", " << "resources=" << to_string(resources);
   out << ", " << "handover="; (__isset.handover ? (out << to_string(handover)) : (out << "<null>"));
   out << ", " << "caller_limits="; (__isset.caller_limits ? (out << to_string(caller_limits)) : (out << "<null>"));
+  out << ", " << "customers_digest="; (__isset.customers_digest ? (out << to_string(customers_digest)) : (out << "<null>"));
+  out << ", " << "customers="; (__isset.customers ? (out << to_string(customers)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/distribution_types.h
+++ b/packages/wire/gen/distribution_types.h
@@ -213,13 +213,15 @@
 std::ostream& operator<<(std::ostream& out, const CallerLimitsT& obj);
 
 typedef struct _FetchResponseT__isset {
-  _FetchResponseT__isset() : version(false), names(false), digests(false), resources(false), handover(false), caller_limits(false) {}
+  _FetchResponseT__isset() : version(false), names(false), digests(false), resources(false), handover(false), caller_limits(false), customers_digest(false), customers(false) {}
   bool version :1;
   bool names :1;
   bool digests :1;
   bool resources :1;
   bool handover :1;
   bool caller_limits :1;
+  bool customers_digest :1;
+  bool customers :1;
 } _FetchResponseT__isset;
 
 class FetchResponseT : public virtual ::apache::thrift::TBase {
@@ -231,7 +233,8 @@
   FetchResponseT& operator=(FetchResponseT&&) noexcept;
   FetchResponseT() noexcept
                  : version(0),
-                   digests() {
+                   digests(),
+                   customers_digest() {
   }
 
   virtual ~FetchResponseT() noexcept;
@@ -241,6 +244,8 @@
   std::vector<std::string>  resources;
   HandoverT handover;
   CallerLimitsT caller_limits;
+  std::string customers_digest;
+  std::vector< ::hemlockproxy::wire::gen::Customer>  customers;
 
   _FetchResponseT__isset __isset;
 
@@ -256,6 +261,10 @@
 
   void __set_caller_limits(const CallerLimitsT& val);
 
+  void __set_customers_digest(const std::string& val);
+
+  void __set_customers(const std::vector< ::hemlockproxy::wire::gen::Customer> & val);
+
   bool operator == (const FetchResponseT & rhs) const
   {
     if (!(version == rhs.version))
@@ -274,6 +283,14 @@
       return false;
     else if (__isset.caller_limits && !(caller_limits == rhs.caller_limits))
       return false;
+    if (__isset.customers_digest != rhs.__isset.customers_digest)
+      return false;
+    else if (__isset.customers_digest && !(customers_digest == rhs.customers_digest))
+      return false;
+    if (__isset.customers != rhs.__isset.customers)
+      return false;
+    else if (__isset.customers && !(customers == rhs.customers))
+      return false;
     return true;
   }
   bool operator != (const FetchResponseT &rhs) const {
--- a/packages/wire/idl/config.thrift
+++ b/packages/wire/idl/config.thrift
@@ -19,6 +19,7 @@
   10: optional i32 priority
   11: optional i64 latency_target_ms
   12: optional i32 attempts
+  13: optional bool is_public
 }
 
 struct Resource {
@@ -39,6 +40,15 @@
   4: list<Resource> resources
 }
 
+struct Customer {
+  1: string name
+  // The hashes of the customer's keys, 16 bytes each, big-endian, one after the other.
+  2: binary keys
+  3: optional i32 priority
+  4: double rate_per_second
+  5: double burst
+}
+
 struct LimitFloor {
   1: string service_name
   2: i8 kind
--- a/packages/wire/idl/distribution.thrift
+++ b/packages/wire/idl/distribution.thrift
@@ -32,4 +32,8 @@
   4: list<binary> resources
   5: optional HandoverT handover
   6: optional CallerLimitsT caller_limits
+  // 16 bytes; left out where the configuration lists no customers.
+  7: optional binary customers_digest
+  // Left out where the requester holds them.
+  8: optional list<config.Customer> customers
 }
--- a/packages/wire/src/ConfigCodec.cpp
+++ b/packages/wire/src/ConfigCodec.cpp
@@ -38,6 +38,9 @@
   if (aRule.attempts_ != defaults.attempts_) {
     aRoute.__set_attempts(static_cast<std::int32_t>(aRule.attempts_));
   }
+  if (aRule.public_) {
+    aRoute.__set_is_public(true);
+  }
 }
 
 /// Reads the fields that SetOptionalFields sets; returns what is wrong with them, if anything.
@@ -60,6 +63,7 @@
   }
   aRule.latencyTarget_ = std::chrono::milliseconds(aRoute.latency_target_ms);
   aRule.attempts_ = static_cast<std::uint32_t>(aRoute.attempts);
+  aRule.public_ = aRoute.is_public;
   return std::nullopt;
 }
 
--- a/packages/wire/src/DistributionCodec.cpp
+++ b/packages/wire/src/DistributionCodec.cpp
@@ -4,6 +4,7 @@
 
 #include "distribution_types.h"
 
+#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -84,6 +85,68 @@
   return out;
 }
 
+std::vector<gen::Customer> ToThrift(const model::CustomerList& aCustomers)
+{
+  std::vector<gen::Customer> out;
+  for (const model::Customer& customer : aCustomers.customers_) {
+    gen::Customer& entry = out.emplace_back();
+    entry.name = customer.name_.Value();
+    for (const model::Digest& key : customer.keys_) {
+      Append(entry.keys, key);
+    }
+    if (customer.priority_) {
+      entry.__set_priority(static_cast<std::int32_t>(*customer.priority_));
+    }
+    entry.rate_per_second = customer.ratePerSecond_;
+    entry.burst = customer.burst_;
+  }
+  return out;
+}
+
+model::Result<model::CustomerListPtr, DecodeError> FromThrift(
+  const std::vector<gen::Customer>& aCustomers)
+{
+  const auto isAmount = [](double aValue) { return std::isfinite(aValue) && aValue >= 0; };
+  std::vector<model::Customer> out;
+  for (const gen::Customer& entry : aCustomers) {
+    auto keys = ReadDigests(entry.keys);
+    if (!keys || entry.priority < 0 || !isAmount(entry.rate_per_second) || !isAmount(entry.burst)) {
+      return DecodeError{ "customer '" + entry.name + "' is out of range" };
+    }
+    model::Customer& customer = out.emplace_back();
+    customer.name_ = model::CustomerName(entry.name);
+    customer.keys_ = std::move(*keys);
+    if (entry.__isset.priority) {
+      customer.priority_ = static_cast<std::uint32_t>(entry.priority);
+    }
+    customer.ratePerSecond_ = entry.rate_per_second;
+    customer.burst_ = entry.burst;
+  }
+  return model::MakeCustomerList(std::move(out));
+}
+
+/// Reads the list of customers of a response; returns what is wrong with it, if anything.
+std::optional<DecodeError> ReadCustomers(const gen::FetchResponseT& aFrom,
+                                         decisions::FetchResponse& aOut)
+{
+  if (!aFrom.__isset.customers_digest) {
+    return std::nullopt;
+  }
+  const auto digest = ReadDigests(aFrom.customers_digest);
+  if (!digest || digest->size() != 1) {
+    return DecodeError{ "the digest of the customers is not whole" };
+  }
+  aOut.customersDigest_ = digest->front();
+  if (aFrom.__isset.customers) {
+    auto customers = FromThrift(aFrom.customers);
+    if (!customers) {
+      return customers.Error();
+    }
+    aOut.customers_ = std::move(*customers);
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 std::string EncodeFetchRequest(const decisions::FetchRequest& aRequest)
@@ -129,6 +192,14 @@
     bounds.idle_timeout_ms = limits.idleTimeout_.count();
     out.__set_caller_limits(bounds);
   }
+  if (aResponse.customersDigest_) {
+    std::string digest;
+    Append(digest, *aResponse.customersDigest_);
+    out.__set_customers_digest(digest);
+  }
+  if (aResponse.customers_) {
+    out.__set_customers(ToThrift(*aResponse.customers_));
+  }
   if (aResponse.handover_) {
     out.__set_handover(ToThrift(*aResponse.handover_));
   }
@@ -168,6 +239,9 @@
                                              std::chrono::milliseconds(bounds.header_timeout_ms),
                                              std::chrono::milliseconds(bounds.idle_timeout_ms) };
   }
+  if (auto fault = ReadCustomers(*decoded, out)) {
+    return *std::move(fault);
+  }
   if (decoded->__isset.handover) {
     auto handover = FromThrift(decoded->handover);
     if (!handover) {
