--- a/packages/wire/tests/DistributionCodecTest.cpp
+++ b/packages/wire/tests/DistributionCodecTest.cpp
@@ -60,3 +60,25 @@
     CHECK_FALSE(wire::DecodeFetchResponse(bytes.substr(0, length)).Ok());
   }
 }
+
+// Guards against a key that is lost or altered on its way to another daemon.
+TEST(DistributionCodec, KeepsTheCustomers)
+{
+  model::Customer customer;
+  customer.name_ = model::CustomerName("mill");
+  customer.keys_ = { model::HashKey("first"), model::HashKey("second") };
+  customer.priority_ = 2;
+  customer.ratePerSecond_ = 659.5;
+  customer.burst_ = 30;
+  FetchResponse sent = Response();
+  sent.customers_ = model::MakeCustomerList({ customer, { model::CustomerName("clinic"), {} } });
+  sent.customersDigest_ = sent.customers_->digest_;
+  const auto read = wire::DecodeFetchResponse(wire::EncodeFetchResponse(sent));
+  CHECK_TRUE(read.Ok());
+  CHECK_TRUE(read->customersDigest_ == sent.customersDigest_);
+  CHECK_TRUE(read->customers_->customers_ == sent.customers_->customers_);
+  CHECK_TRUE(read->customers_->digest_ == sent.customers_->digest_);
+  sent.customers_ = nullptr;
+  const auto held = wire::DecodeFetchResponse(wire::EncodeFetchResponse(sent));
+  CHECK_TRUE((held->customersDigest_ == sent.customersDigest_ && !held->customers_));
+}
