Reset the connection of an HTTP/1.0 caller whose response was not finished

Cause: the body of a response to HTTP/1.0 ends with its connection. A handler that ended without finishing the response, or a write that timed out, closed the connection in order, and the first part looked complete. Only Abort reset it.

Change: such a connection resets at every close from the head of the response until its body is finished, also when the process is killed.

Result: ResponseCut.ACallerOfHttp10SeesAReset failed before and passes; the other three tests of the group hold callers of HTTP/1.1 and HEAD as they were.

--- a/packages/runtime/src/impl/ServerConnection.h
+++ b/packages/runtime/src/impl/ServerConnection.h
@@ -157,9 +157,11 @@
       response_->chunked(true);
     }
     if (Request().version() == 10 && response_->chunked()) {
-      // HTTP/1.0 has no chunks: the end of the connection ends the body.
+      // HTTP/1.0 has no chunks: the end of the connection ends the body. Until the body is finished
+      // each close is a reset, so that its first part cannot look complete.
       response_->chunked(false);
       keepAlive_ = false;
+      ResetAtClose(true);
     }
     response_->keep_alive(keepAlive_);
     SetBodyPart(response_->body(), {});
@@ -182,6 +184,8 @@
     HttpResult<model::Unit> sent = noBody_ ? WriteHeaderOnly() : WriteEnd();
     if (!sent) {
       aborted_ = true;
+    } else if (resetAtClose_) {
+      ResetAtClose(false);
     }
     finished_ = true;
     return sent;
@@ -192,8 +196,7 @@
     aborted_ = true;
     // A reset tells callers that read until the end of the connection that the response is
     // incomplete.
-    boost::system::error_code ignored;
-    stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    ResetAtClose(true);
     stream_.close();
   }
 
@@ -548,6 +551,13 @@
     return model::Unit{};
   }
 
+  void ResetAtClose(bool aReset)
+  {
+    resetAtClose_ = aReset;
+    boost::system::error_code ignored;
+    stream_.socket().set_option(asio::socket_base::linger(aReset, 0), ignored);
+  }
+
   void EndExchange()
   {
     onClosed_ = nullptr;
@@ -643,6 +653,7 @@
   bool idle_ = false;
   bool firstRead_ = false;
   bool rejected_ = false;
+  bool resetAtClose_ = false;
   bool waiting_ = false;
 };
 
