Check the head of each response before it is parsed

Cause: Beast 1.74 accepts heads that are not valid HTTP, such as a status over 599, and hides the bytes that it has normalised. Such responses were passed on to callers.

ClientConnection::ReadHeader applies it to the raw bytes, and with it owner, entry, prober, control calls, store client, health checks and hemlockctl. Equal Content-Length lines are passed on as one. Fetch skips interim responses, within its time.

--- a/packages/runtime/src/HttpClient.cpp
+++ b/packages/runtime/src/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "hemlockproxy/runtime/HttpClient.h"
 
+#include "hemlockproxy/runtime/ResponseHead.h"
+
 #include "impl/HttpStream.h"
 
 #include <netinet/in.h>
@@ -15,6 +17,9 @@
 /// moment would meet the close, and some requests cannot be repeated.
 constexpr std::chrono::milliseconds kIdleMargin{ 1000 };
 
+constexpr std::uint32_t kMostHeadBytes = 64 * 1024;
+constexpr std::size_t kHeadReadBytes = 4096;
+
 bool MethodCarriesBody(http::verb aMethod) noexcept
 {
   return aMethod == http::verb::post || aMethod == http::verb::put || aMethod == http::verb::patch;
@@ -102,23 +107,37 @@
 
   [[nodiscard]] HttpResult<ResponseHeader> ReadHeader(Timeout aTimeout) override
   {
-    constexpr std::uint32_t kHeaderBytes = 64 * 1024;
     parser_.emplace();
-    parser_->header_limit(kHeaderBytes);
+    parser_->header_limit(kMostHeadBytes);
     parser_->body_limit(impl::kUnlimitedBody);
     if (head_) {
       parser_->skip(true);
     }
     stream_.expires_after(aTimeout);
-    const auto done = impl::Await([&](auto aHandler) {
-      http::async_read_header(stream_, buffer_, *parser_, std::move(aHandler));
-    });
-    bytes_ += done.bytes_;
-    if (done.error_) {
-      return impl::ToHttpError(done.error_);
+    const auto length = ReadHeadBytes();
+    if (!length) {
+      return length.Error();
+    }
+    // Beast's parser accepts heads that are not valid and hides their bytes.
+    const auto bytes = buffer_.data();
+    if (auto checked = CheckResponseHead({ static_cast<const char*>(bytes.data()), *length });
+        !checked) {
+      return checked.Error();
     }
+    boost::system::error_code error;
+    buffer_.consume(parser_->put(bytes, error));
+    if (error || !parser_->is_header_done()) {
+      return impl::ToHttpError(error ? error : http::error::partial_message);
+    }
+    bytes_ += *length;
     body_.Start(*parser_);
-    return parser_->get().base();
+    ResponseHeader header = parser_->get().base();
+    if (header.count(http::field::content_length) > 1) {
+      // The values are equal; a reader further on may not take them for one.
+      const std::string value(header[http::field::content_length]);
+      header.set(http::field::content_length, value);
+    }
+    return header;
   }
 
   void SetStallTimeout(Timeout aTimeout) override { stallTimeout_ = aTimeout; }
@@ -180,6 +199,36 @@
     stream_.socket().bind(tcp::endpoint(address, 0), ignored);
   }
 
+  /// Reads until a whole head is buffered; returns its length.
+  HttpResult<std::size_t> ReadHeadBytes()
+  {
+    constexpr std::string_view kHeadEnd = "\r\n\r\n";
+    std::size_t searched = 0;
+    while (true) {
+      const auto bytes = buffer_.data();
+      const std::string_view text(static_cast<const char*>(bytes.data()), bytes.size());
+      const auto end = text.find(kHeadEnd, searched);
+      if (end != std::string_view::npos && end + kHeadEnd.size() <= kMostHeadBytes) {
+        return end + kHeadEnd.size();
+      }
+      if (text.size() >= kMostHeadBytes) {
+        return impl::ToHttpError(http::error::header_limit);
+      }
+      searched = text.size() - std::min(text.size(), kHeadEnd.size() - 1);
+      const auto done = impl::Await([&](auto aHandler) {
+        stream_.async_read_some(buffer_.prepare(kHeadReadBytes), std::move(aHandler));
+      });
+      buffer_.commit(done.bytes_);
+      if (done.error_ == impl::asio::error::eof) {
+        return impl::ToHttpError(buffer_.size() == 0 ? http::error::end_of_stream
+                                                     : http::error::partial_message);
+      }
+      if (done.error_) {
+        return impl::ToHttpError(done.error_);
+      }
+    }
+  }
+
   void Begin(RequestHeader aHeader)
   {
     head_ = aHeader.method() == http::verb::head;
@@ -324,6 +373,29 @@
   return header;
 }
 
+namespace {
+
+/// Reads the header of the final response; the peer may send interim ones until the time is over.
+HttpResult<ResponseHeader> ReadFinalHeader(HttpConnection& aConnection,
+                                           std::chrono::milliseconds aTimeout)
+{
+  constexpr unsigned kLowestFinal = 200;
+  const auto end = std::chrono::steady_clock::now() + aTimeout;
+  while (true) {
+    const auto left =
+      std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+    if (left.count() <= 0) {
+      return HttpError{ HttpErrorKind::TimedOut, "no final response within the time limit" };
+    }
+    auto header = aConnection.ReadHeader(left);
+    if (!header || header->result_int() >= kLowestFinal) {
+      return header;
+    }
+  }
+}
+
+} // namespace
+
 HttpResult<HttpResponse> Fetch(HttpConnectionPool& aPool,
                                const model::Address& aAddress,
                                RequestHeader aHeader,
@@ -339,7 +411,7 @@
   if (auto sent = connection->Send(std::move(aHeader), aBody, aTimeout); !sent) {
     return sent.Error();
   }
-  auto header = connection->ReadHeader(aTimeout);
+  auto header = ReadFinalHeader(*connection, aTimeout);
   if (!header) {
     return header.Error();
   }
