End a response without a length as broken unless its request was sent whole

Cause: Linux reports the reset of a connection once, to the next call on the socket. While an upload was written that call was the write; the reads after it returned what had arrived and then an end without an error, so that the first part of a response without a length was taken for all of it. A reset behind an orderly close is not reported by a read either.

Change: after a failed write such a response is an error, so that a request that may be repeated is tried elsewhere. Its end counts only if the whole request was written, the peer had not closed its side before, no error is left on the socket and the close acknowledged all bytes of the request.

--- a/packages/runtime/src/HttpClient.cpp
+++ b/packages/runtime/src/HttpClient.cpp
@@ -4,7 +4,10 @@
 
 #include "impl/HttpStream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 
 namespace hemlockproxy::runtime {
 
@@ -20,6 +23,24 @@
 constexpr std::uint32_t kMostHeadBytes = 64 * 1024;
 constexpr std::size_t kHeadReadBytes = 4096;
 
+/// Returns whether the peer has closed its side of the connection, or reset it.
+bool PeerHasClosed(int aSocket) noexcept
+{
+  pollfd state{ .fd = aSocket, .events = POLLRDHUP, .revents = 0 };
+  return ::poll(&state, 1, 0) > 0;
+}
+
+/// Returns whether a connection whose end has been read ended in order, after the peer had received
+/// all that was sent. A reset that follows an orderly close is not reported by a read.
+bool EndedInOrder(int aSocket) noexcept
+{
+  int error = 0;
+  socklen_t size = sizeof error;
+  int unacknowledged = 0;
+  return ::getsockopt(aSocket, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0 &&
+         ::ioctl(aSocket, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+}
+
 bool MethodCarriesBody(http::verb aMethod) noexcept
 {
   return aMethod == http::verb::post || aMethod == http::verb::put || aMethod == http::verb::patch;
@@ -129,6 +150,10 @@
     if (error || !parser_->is_header_done()) {
       return impl::ToHttpError(error ? error : http::error::partial_message);
     }
+    if (sendFailed_ && parser_->need_eof()) {
+      return HttpError{ HttpErrorKind::Broken,
+                        "the connection broke before the request was sent whole" };
+    }
     bytes_ += *length;
     body_.Start(*parser_);
     ResponseHeader header = parser_->get().base();
@@ -145,8 +170,13 @@
   [[nodiscard]] HttpResult<std::size_t> Read(char* aBuffer, std::size_t aSize) override
   {
     auto read = body_.Read(stream_, buffer_, *parser_, aBuffer, aSize, stallTimeout_);
-    if (read) {
-      bytes_ += *read;
+    if (!read) {
+      return read;
+    }
+    bytes_ += *read;
+    if (*read == 0 && parser_->need_eof() && !CompleteAtEnd()) {
+      return HttpError{ HttpErrorKind::Broken,
+                        "the connection broke inside a response without a length" };
     }
     return read;
   }
@@ -229,10 +259,19 @@
     }
   }
 
+  /// Returns whether a body that the end of the connection ends is complete: its peer closed in
+  /// order after the whole request had reached it.
+  [[nodiscard]] bool CompleteAtEnd()
+  {
+    return requestDone_ && !closedEarly_ && EndedInOrder(stream_.socket().native_handle());
+  }
+
   void Begin(RequestHeader aHeader)
   {
     head_ = aHeader.method() == http::verb::head;
     requestDone_ = false;
+    sendFailed_ = false;
+    closedEarly_ = false;
     anySent_ = false;
     parser_.reset();
     serializer_.reset();
@@ -243,9 +282,13 @@
 
   HttpResult<Unit> Write(Timeout aTimeout)
   {
+    // The head of a streamed request is out already, so that the peer may close before the rest.
+    closedEarly_ = closedEarly_ || (anySent_ && PeerHasClosed(stream_.socket().native_handle()));
     anySent_ = true;
     auto written = impl::WriteBodyPart(stream_, *serializer_, aTimeout);
     if (!written) {
+      // The failed call has taken the connection's error; later reads report an orderly end.
+      sendFailed_ = true;
       return written.Error();
     }
     bytes_ += *written;
@@ -263,6 +306,9 @@
   std::uint64_t bytes_ = 0;
   bool head_ = false;
   bool requestDone_ = false;
+  bool sendFailed_ = false;
+  /// The peer closed its side before the request was sent whole.
+  bool closedEarly_ = false;
   bool anySent_ = false;
 };
 
