Try a request elsewhere when its response breaks before the first byte of the body

Cause: an attempt counted as answered with the head of its response. A response without a length or in chunks that broke off right behind its head reached the caller truncated, although nothing of it had been sent and another endpoint could have answered.

--- a/packages/daemon/src/EntryAttempts.cpp
+++ b/packages/daemon/src/EntryAttempts.cpp
@@ -2,6 +2,7 @@
 
 #include "impl/AttemptTimer.h"
 #include "impl/EntryCall.h"
+#include "impl/FirstPart.h"
 #include "impl/HeldBody.h"
 #include "impl/PeerProber.h"
 
@@ -346,7 +347,7 @@
 UpstreamReply EntryService::RunAttempt(UpstreamRequest& aRequest, const model::DaemonId& aEndpoint)
 {
   if (aEndpoint == options_.self_) {
-    return owner_.Execute(aRequest);
+    return impl::WithFirstPart(owner_.Execute(aRequest));
   }
   const auto& members = targets_[aRequest.service_].members_;
   const auto found = members.find(aEndpoint);
@@ -354,7 +355,7 @@
     return Refused(RequestOutcome::NotRun, RefusalReason::NoEndpoint);
   }
   const std::shared_ptr<const model::MemberRecord> member = found->second;
-  return Forward(aRequest, *member);
+  return impl::WithFirstPart(Forward(aRequest, *member));
 }
 
 void EntryService::PeerChanged(const decisions::PeerChange& aChange)
--- a/packages/daemon/tests/EntryServiceTest.cpp
+++ b/packages/daemon/tests/EntryServiceTest.cpp
@@ -1,5 +1,7 @@
 #include "TrafficFixture.h"
 
+#include "RawServer.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace hemlockproxy;
@@ -163,3 +165,44 @@
     LONGS_EQUAL(1, owner.Requests());
   });
 }
+
+TEST_GROUP(EntryServiceBrokenBody)
+{
+  /// An owner whose responses break off before the first byte of their bodies.
+  RawServer broken{ [](RawServer::Socket& aSocket, int) {
+                     (void)ReadRequest(aSocket, true);
+                     Write(aSocket,
+                           "HTTP/1.1 200 OK\r\nHemlock-Outcome: answered\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n");
+                   },
+                    kConnections };
+  static constexpr int kConnections = 100;
+};
+
+// Guards against a caller that gets a response which broke off, although nothing of it had been
+// sent to the caller and another endpoint would have answered.
+TEST(EntryServiceBrokenBody, ARepeatableRequestIsTriedElsewhereBeforeTheFirstByte)
+{
+  runtime::RunInLoop([this](const runtime::IoContextPtr& aIo) {
+    CountingServer well(aIo);
+    const Entry entry(aIo, { broken.Address(), well.Address() });
+    runtime::HttpConnectionPool pool(aIo, 1, kExchangeTimeout);
+    const auto response =
+      runtime::Fetch(pool, entry.Address(), entry.Request(), {}, kExchangeTimeout, 1024);
+    CHECK_TRUE(response.Ok());
+    STRCMP_EQUAL("ok", response->body_.c_str());
+    LONGS_EQUAL(1, well.Requests());
+  });
+}
+
+TEST(EntryServiceBrokenBody, AnUnsafeRequestIsNotRepeated)
+{
+  runtime::RunInLoop([this](const runtime::IoContextPtr& aIo) {
+    CountingServer well(aIo);
+    const Entry entry(aIo, { broken.Address(), well.Address() });
+    auto request = entry.Request();
+    request.method(runtime::http::verb::post);
+    LONGS_EQUAL(502, StatusOf(*aIo, entry.Address(), std::move(request)));
+    LONGS_EQUAL(0, well.Requests());
+  });
+}
