End a body whose sender is silent at the request's time-out

Cause: the deadline of a request bounded the wait for the head of its response only. Bodies in both directions were bounded by stall_timeout, begun anew with each part; bytes of a chunk header counted as progress.

Change: decisions::NextPartDue says until when the next part is awaited: the time-out, or 400 ms where that is later, never beyond the caller's own deadline. A response that makes progress goes on after the time-out. Uploads end at the time-out.

--- a/packages/daemon/include/hemlockproxy/daemon/ResumingBody.h
+++ b/packages/daemon/include/hemlockproxy/daemon/ResumingBody.h
@@ -37,6 +37,8 @@
   std::string validator_;
   /// Whether the endpoint that broke off had delivered anything. If so, resuming repeats no work.
   bool progressed_ = false;
+  /// Whether the endpoint fell silent, rather than broke off.
+  bool stalled_ = false;
 };
 
 /// A response body that is continued from another endpoint by a range request when it breaks off or
@@ -53,7 +55,7 @@
   void SetStallTimeout(std::chrono::milliseconds aTimeout) override;
 
 private:
-  [[nodiscard]] bool TryResume();
+  [[nodiscard]] bool TryResume(const runtime::HttpError& aError);
 
   std::unique_ptr<UpstreamBody> body_;
   ResumePoint point_;
--- a/packages/daemon/include/hemlockproxy/daemon/Upstream.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Upstream.h
@@ -74,6 +74,9 @@
   /// Identifies the caller's attempt; empty where callers send no ids.
   std::string id_;
   model::TimePoint deadline_;
+  /// The caller's own deadline, where it stated one. A response whose head came before deadline_
+  /// may continue until then while it makes progress.
+  std::optional<model::TimePoint> bodyDeadline_;
   /// The body's first bytes; all of it when rest_ is null.
   std::string_view body_;
   /// The source of the bytes after body_.
--- a/packages/daemon/src/EntryAttempts.cpp
+++ b/packages/daemon/src/EntryAttempts.cpp
@@ -29,6 +29,9 @@
 /// caller waits.
 constexpr std::chrono::milliseconds kResumeStall{ 2000 };
 constexpr std::chrono::milliseconds kResumeDeadline{ 5000 };
+/// The least time for a response to be resumed elsewhere, also just before the request's time-out;
+/// a stalled response must have ended half a second after it.
+constexpr std::chrono::milliseconds kShortestResume{ 400 };
 constexpr std::uint32_t kMostResumes = 8;
 
 decisions::ResponseKind KindOf(const UpstreamReply& aReply)
@@ -427,6 +430,7 @@
     }
     const auto evidence = reply.header_[kQuarantineField];
     refusal.evidence_ = FromHex({ evidence.data(), evidence.size() });
+    reply.body_->SetStallTimeout(impl::kRejectionTextTime);
     impl::DropRest(*reply.body_);
     return refusal;
   }
@@ -458,12 +462,22 @@
     return Refused(failed.outcome_, failed.reason_);
   }
   const auto now = std::chrono::steady_clock::now();
+  const auto timeout = aCall.firstDeadline_.value_or(aCall.request_.deadline_);
+  aCall.firstDeadline_ = timeout;
+  if (aRequest.stalled_ && now >= timeout && now <= timeout + kShortestResume) {
+    // It was silent at the time-out already. One that made progress after it may go on.
+    return Refused(failed.outcome_, RefusalReason::UpstreamTimeout);
+  }
   if (aCall.endpoint_) {
     aCall.tried_.push_back(*aCall.endpoint_);
   }
   aCall.request_.header_.set(http::field::range, aRequest.range_);
   aCall.request_.header_.set(http::field::if_range, aRequest.validator_);
   aCall.request_.deadline_ = now + kResumeDeadline;
+  if (now < timeout) {
+    aCall.request_.deadline_ =
+      std::min(aCall.request_.deadline_, std::max(timeout, now + kShortestResume));
+  }
   decisions::AttemptState& state = aCall.state_;
   state.outcome_ = failed.outcome_;
   state.reason_ = failed.reason_;
--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -29,6 +29,8 @@
 /// between domains are paid for, and load another instance's link. 10 made callers wait too long
 /// for full owners (docs/decisions/endpoint-choice.md).
 constexpr double kDomainCrossingFactor = 4;
+/// Bounds what a caller may state, so that the sum with a point in time does not overflow.
+constexpr std::chrono::milliseconds kMostBodyTime = std::chrono::hours(24);
 /// Metrics are fetched every few seconds.
 constexpr std::chrono::milliseconds kFiguresInterval{ 1000 };
 
@@ -276,6 +278,9 @@
   aCall.request_.id_ = caller.id_;
   aCall.request_.deadline_ =
     aCall.started_ + std::min(caller.timeLeft_.value_or(rule.timeout_), rule.timeout_);
+  if (caller.timeLeft_) {
+    aCall.request_.bodyDeadline_ = aCall.started_ + std::min(*caller.timeLeft_, kMostBodyTime);
+  }
   aCall.request_.work_ = WorkOf(rule, aCall.started_, aCall.request_.deadline_);
   if (customer != nullptr) {
     aCall.request_.customer_ = customer->name_;
--- a/packages/daemon/src/HttpUpstream.cpp
+++ b/packages/daemon/src/HttpUpstream.cpp
@@ -1,5 +1,7 @@
 #include "hemlockproxy/daemon/HttpUpstream.h"
 
+#include "hemlockproxy/decisions/BodyTime.h"
+
 #include "impl/Delivery.h"
 #include "impl/HeldBody.h"
 
@@ -18,19 +20,21 @@
 using runtime::HttpResult;
 namespace http = runtime::http;
 
-/// The response body on a connection; gives the connection back to the pool after a complete
-/// response.
+/// The response body on a connection, bounded by the request's time-out; gives the connection back
+/// to the pool after a complete response.
 class ConnectionBody final : public UpstreamBody
 {
 public:
   ConnectionBody(runtime::HttpConnectionPool& aPool,
                  model::Address aAddress,
                  HttpConnectionPtr aConnection,
-                 CancelSource* aCancel)
+                 CancelSource* aCancel,
+                 decisions::BodyTime aTime)
     : pool_(aPool)
     , address_(std::move(aAddress))
     , connection_(std::move(aConnection))
     , cancel_(aCancel)
+    , time_(aTime)
   {
   }
 
@@ -47,19 +51,23 @@
 
   [[nodiscard]] HttpResult<std::size_t> Read(char* aBuffer, std::size_t aSize) override
   {
+    const auto now = std::chrono::steady_clock::now();
+    const auto due = decisions::NextPartDue(time_, now);
+    if (due <= now) {
+      return HttpError{ HttpErrorKind::TimedOut, "the response did not end in time" };
+    }
+    connection_->SetStallTimeout(std::chrono::ceil<std::chrono::milliseconds>(due - now));
     return connection_->Read(aBuffer, aSize);
   }
 
-  void SetStallTimeout(std::chrono::milliseconds aTimeout) override
-  {
-    connection_->SetStallTimeout(aTimeout);
-  }
+  void SetStallTimeout(std::chrono::milliseconds aTimeout) override { time_.stall_ = aTimeout; }
 
 private:
   runtime::HttpConnectionPool& pool_;
   model::Address address_;
   HttpConnectionPtr connection_;
   CancelSource* cancel_;
+  decisions::BodyTime time_;
 };
 
 /// One exchange on a connection.
@@ -97,9 +105,9 @@
       return sent.Error();
     }
     if (waits) {
-      auto interim = connection_.ReadHeader(TimeLeft(request_.deadline_));
-      if (!interim || interim->result() != http::status::continue_) {
-        return interim;
+      auto answer = ReadHeaderFrom(http::status::continue_);
+      if (!answer || answer->result() != http::status::continue_) {
+        return answer;
       }
     }
     if (auto sent = StreamBody(); !sent) {
@@ -117,7 +125,7 @@
 private:
   HttpResult<Unit> StreamBody()
   {
-    if (auto sent = connection_.SendBody(request_.body_, options_.stallTimeout_); !sent) {
+    if (auto sent = connection_.SendBody(request_.body_, SendTime()); !sent) {
       return sent;
     }
     std::string part(runtime::kBodyPartBytes, '\0');
@@ -130,20 +138,31 @@
         return read.Error();
       }
       if (*read == 0) {
-        return connection_.FinishBody(options_.stallTimeout_);
+        return connection_.FinishBody(SendTime());
       }
-      if (auto sent = connection_.SendBody({ part.data(), *read }, options_.stallTimeout_); !sent) {
+      if (auto sent = connection_.SendBody({ part.data(), *read }, SendTime()); !sent) {
         return sent;
       }
     }
   }
 
-  HttpResult<runtime::ResponseHeader> ReadFinalHeader()
+  /// Returns how long a part of the request may take. An upstream that has not taken the request by
+  /// its deadline cannot respond in time.
+  [[nodiscard]] std::chrono::milliseconds SendTime() const
+  {
+    return std::min(options_.stallTimeout_, TimeLeft(request_.deadline_));
+  }
+
+  HttpResult<runtime::ResponseHeader> ReadFinalHeader() { return ReadHeaderFrom(http::status::ok); }
+
+  /// Reads headers until one has at least the given status, or 100 where that is asked for; all
+  /// others below 200 are interim.
+  HttpResult<runtime::ResponseHeader> ReadHeaderFrom(http::status aLeast)
   {
     // A faulty upstream may send interim responses without end.
     while (std::chrono::steady_clock::now() < request_.deadline_) {
       auto header = connection_.ReadHeader(TimeLeft(request_.deadline_));
-      if (!header || header->result_int() >= 200) {
+      if (!header || header->result_int() >= 200 || header->result() == aLeast) {
         return header;
       }
     }
@@ -187,6 +206,7 @@
   if (aMeaning == ResponseMeaning::Foreign) {
     return Refused(RequestOutcome::Unknown, RefusalReason::UpstreamFailed);
   }
+  aConnection->SetStallTimeout(impl::kRejectionTextTime);
   impl::DropRest(*aConnection);
   aPool.Release(aAddress, std::move(aConnection));
   return Refused(RequestOutcome::NotRun,
@@ -254,8 +274,11 @@
   }
   reply.outcome_ = RequestOutcome::Answered;
   reply.header_ = *std::move(header);
-  reply.body_ =
-    std::make_unique<ConnectionBody>(aPool, aAddress, std::move(connection), aRequest.cancel_);
+  const decisions::BodyTime time{ .timeout_ = aRequest.deadline_,
+                                  .end_ = aRequest.bodyDeadline_,
+                                  .stall_ = aOptions.stallTimeout_ };
+  reply.body_ = std::make_unique<ConnectionBody>(
+    aPool, aAddress, std::move(connection), aRequest.cancel_, time);
   return reply;
 }
 
--- a/packages/daemon/src/ResumingBody.cpp
+++ b/packages/daemon/src/ResumingBody.cpp
@@ -96,18 +96,19 @@
       next_ += *read;
       return read;
     }
-    if (next_ > point_.last_ || !TryResume()) {
+    if (next_ > point_.last_ || !TryResume(read.Error())) {
       return read;
     }
   }
 }
 
-bool ResumingBody::TryResume()
+bool ResumingBody::TryResume(const runtime::HttpError& aError)
 {
   const ResumeRequest request{ "bytes=" + std::to_string(next_) + "-" +
                                  std::to_string(point_.last_),
                                point_.validator_,
-                               next_ > resumedAt_ };
+                               next_ > resumedAt_,
+                               aError.kind_ == runtime::HttpErrorKind::TimedOut };
   resumedAt_ = next_;
   // Frees the broken upstream's connection and slot first.
   body_ = nullptr;
--- a/packages/daemon/src/impl/EntryCall.h
+++ b/packages/daemon/src/impl/EntryCall.h
@@ -52,6 +52,8 @@
   /// The endpoint of the last attempt.
   std::optional<model::DaemonId> endpoint_;
   std::uint32_t resumes_ = 0;
+  /// The deadline of the request before its response was resumed.
+  std::optional<model::TimePoint> firstDeadline_;
   decisions::AttemptState state_;
   /// Learns from all attempts on the route of this request.
   std::shared_ptr<decisions::AttemptTimeout> timeout_;
--- a/packages/daemon/src/impl/HeldBody.h
+++ b/packages/daemon/src/impl/HeldBody.h
@@ -2,6 +2,7 @@
 
 #include "hemlockproxy/daemon/Upstream.h"
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -71,6 +72,10 @@
 [[nodiscard]] runtime::HttpResult<std::string> ReadWhole(runtime::BodySource& aBody,
                                                          std::size_t aLength);
 
+/// The longest pause in the text of a rejection. The rejection is known without it, and another
+/// connection costs less than a wait.
+inline constexpr std::chrono::milliseconds kRejectionTextTime{ 50 };
+
 /// Reads and drops the rest of a short body, so that its connection can be used again; a long one
 /// is left alone.
 void DropRest(runtime::BodySource& aBody);
--- a/packages/decisions/include/hemlockproxy/decisions/Decisions.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Decisions.h
@@ -7,6 +7,7 @@
 #include "hemlockproxy/decisions/AttemptResult.h"
 #include "hemlockproxy/decisions/AttemptTimeout.h"
 #include "hemlockproxy/decisions/BackendRegistry.h"
+#include "hemlockproxy/decisions/BodyTime.h"
 #include "hemlockproxy/decisions/ClaimLedger.h"
 #include "hemlockproxy/decisions/ClaimResolver.h"
 #include "hemlockproxy/decisions/ConfigReplay.h"
--- a/packages/runtime/src/impl/HttpStream.h
+++ b/packages/runtime/src/impl/HttpStream.h
@@ -47,10 +47,11 @@
                                                    std::chrono::milliseconds aTimeout)
 {
   auto& body = aParser.get().body();
+  // Bytes that are not of the body are no progress: a chunk header may be long.
+  aStream.expires_after(aTimeout);
   while (!aParser.is_done()) {
     body.data = aData;
     body.size = aSize;
-    aStream.expires_after(aTimeout);
     const IoCompletion done = Await([&](auto aHandler) {
       http::async_read_some(aStream, aBuffer, aParser, std::move(aHandler));
     });
