--- a/packages/daemon/src/EntryAttempts.cpp
+++ b/packages/daemon/src/EntryAttempts.cpp
@@ -2,6 +2,7 @@
 
 #include "impl/AttemptTimer.h"
 #include "impl/EntryCall.h"
+#include "impl/FirstPart.h"
 #include "impl/HeldBody.h"
 #include "impl/PeerProber.h"
 
@@ -28,6 +29,9 @@
 /// caller waits.
 constexpr std::chrono::milliseconds kResumeStall{ 2000 };
 constexpr std::chrono::milliseconds kResumeDeadline{ 5000 };
+/// The least time for a response to be resumed elsewhere, also just before the request's time-out;
+/// a stalled response must have ended half a second after it.
+constexpr std::chrono::milliseconds kShortestResume{ 400 };
 constexpr std::uint32_t kMostResumes = 8;
 
 decisions::ResponseKind KindOf(const UpstreamReply& aReply)
@@ -346,7 +350,7 @@
 UpstreamReply EntryService::RunAttempt(UpstreamRequest& aRequest, const model::DaemonId& aEndpoint)
 {
   if (aEndpoint == options_.self_) {
-    return owner_.Execute(aRequest);
+    return impl::WithFirstPart(owner_.Execute(aRequest));
   }
   const auto& members = targets_[aRequest.service_].members_;
   const auto found = members.find(aEndpoint);
@@ -354,7 +358,7 @@
     return Refused(RequestOutcome::NotRun, RefusalReason::NoEndpoint);
   }
   const std::shared_ptr<const model::MemberRecord> member = found->second;
-  return Forward(aRequest, *member);
+  return impl::WithFirstPart(Forward(aRequest, *member));
 }
 
 void EntryService::PeerChanged(const decisions::PeerChange& aChange)
@@ -426,6 +430,7 @@
     }
     const auto evidence = reply.header_[kQuarantineField];
     refusal.evidence_ = FromHex({ evidence.data(), evidence.size() });
+    reply.body_->SetStallTimeout(impl::kRejectionTextTime);
     impl::DropRest(*reply.body_);
     return refusal;
   }
@@ -457,12 +462,22 @@
     return Refused(failed.outcome_, failed.reason_);
   }
   const auto now = std::chrono::steady_clock::now();
+  const auto timeout = aCall.firstDeadline_.value_or(aCall.request_.deadline_);
+  aCall.firstDeadline_ = timeout;
+  if (aRequest.stalled_ && now >= timeout && now <= timeout + kShortestResume) {
+    // It was silent at the time-out already. One that made progress after it may go on.
+    return Refused(failed.outcome_, RefusalReason::UpstreamTimeout);
+  }
   if (aCall.endpoint_) {
     aCall.tried_.push_back(*aCall.endpoint_);
   }
   aCall.request_.header_.set(http::field::range, aRequest.range_);
   aCall.request_.header_.set(http::field::if_range, aRequest.validator_);
   aCall.request_.deadline_ = now + kResumeDeadline;
+  if (now < timeout) {
+    aCall.request_.deadline_ =
+      std::min(aCall.request_.deadline_, std::max(timeout, now + kShortestResume));
+  }
   decisions::AttemptState& state = aCall.state_;
   state.outcome_ = failed.outcome_;
   state.reason_ = failed.reason_;
