--- a/packages/daemon/include/hemlockproxy/daemon/Settings.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Settings.h
@@ -81,6 +81,10 @@
   /// The rate of the instance's link in bytes/s, written as link_mbps; 0 means that it is not
   /// known.
   std::uint64_t linkBytesPerSecond_ = 0;
+  /// The instance's memory in bytes, written as memory_mb; 0 takes the process's own limit.
+  std::uint64_t memoryBytes_ = 0;
+  /// The descriptors that the process may open; 0 takes the process's own limit.
+  std::uint64_t descriptors_ = 0;
   std::string logLevel_ = "info";
 
   friend bool operator==(const Settings&, const Settings&) = default;
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -52,7 +52,7 @@
     std::chrono::milliseconds most_;
   };
 
-  static const std::array<Key, 29> kKeys;
+  static const std::array<Key, 31> kKeys;
 
   void Add(const YAML::Mark& aMark, std::string aMessage)
   {
@@ -127,6 +127,8 @@
   void SetRetryExtra(const YAML::Node& aValue);
   void SetTrafficSpin(const YAML::Node& aValue);
   void SetLinkRate(const YAML::Node& aValue);
+  void SetMemory(const YAML::Node& aValue);
+  void SetDescriptors(const YAML::Node& aValue);
   void SetSeeds(const YAML::Node& aValue);
   void SetProfile(const YAML::Node& aValue);
   void SetLogLevel(const YAML::Node& aValue);
@@ -141,7 +143,7 @@
   SettingsErrors errors_;
 };
 
-const std::array<SettingsParser::Key, 29> SettingsParser::kKeys = { {
+const std::array<SettingsParser::Key, 31> SettingsParser::kKeys = { {
   { "name", Need::Required, &SettingsParser::SetName },
   { "region", Need::Required, &SettingsParser::SetRegion },
   { "failure_domain", Need::Required, &SettingsParser::SetDomain },
@@ -171,6 +173,8 @@
   { "retry_extra", Need::Optional, &SettingsParser::SetRetryExtra },
   { "traffic_spin", Need::Optional, &SettingsParser::SetTrafficSpin },
   { "link_mbps", Need::Optional, &SettingsParser::SetLinkRate },
+  { "memory_mb", Need::Optional, &SettingsParser::SetMemory },
+  { "descriptors", Need::Optional, &SettingsParser::SetDescriptors },
 } };
 
 void SettingsParser::SetDuration(const YAML::Node& aValue, const DurationKey& aKey)
@@ -271,6 +275,32 @@
   settings_.linkBytesPerSecond_ = static_cast<std::uint64_t>(megabits * kBytesPerMegabit);
 }
 
+void SettingsParser::SetMemory(const YAML::Node& aValue)
+{
+  constexpr double kBytesPerMegabyte = 1e6;
+  constexpr double kMostMegabytes = 1e7;
+  double megabytes = 0;
+  if (!YAML::convert<double>::decode(aValue, megabytes) ||
+      !(megabytes >= 0 && megabytes <= kMostMegabytes)) {
+    Add(aValue.Mark(), "found '" + Text(aValue) + "'; expected MB from 0 to 10000000");
+    return;
+  }
+  settings_.memoryBytes_ = static_cast<std::uint64_t>(megabytes * kBytesPerMegabyte);
+}
+
+void SettingsParser::SetDescriptors(const YAML::Node& aValue)
+{
+  constexpr double kMost = 1e7;
+  double descriptors = 0;
+  if (!YAML::convert<double>::decode(aValue, descriptors) ||
+      !(descriptors >= 0 && descriptors <= kMost)) {
+    Add(aValue.Mark(), "found '" + Text(aValue) + "'; expected a number from 0 to 10000000");
+    return;
+  }
+  // A computed value may be a fraction, which is rounded to the strict side.
+  settings_.descriptors_ = static_cast<std::uint64_t>(descriptors);
+}
+
 void SettingsParser::SetInterface(const YAML::Node& aValue)
 {
   const std::string text = Text(aValue);
