review: the harness fills the new fields of the template

Cause: platform/settings.yaml.template has limits.memory_mb and limits.max_fds; the harness ended with map::at, and no case could run. Change: it gives 160 MB and 4,100 descriptors.

--- a/review/stand_in/harness.cc
+++ b/review/stand_in/harness.cc
@@ -818,6 +818,8 @@
     { "bounds.budget_window_s", "10" },
     { "bounds.budget_extra", "56" },
     { "limits.link_mbps", "1000.0" },
+    { "limits.memory_mb", "160" },
+    { "limits.max_fds", "4100" },
   };
   std::ifstream in("platform/settings.yaml.template");
   if (!in) {
