Write lines to standard error on a thread of their own

Cause: Log wrote through log4cxx in the calling thread. A pipe that nobody reads blocked the thread of all requests, and one that is closed ended the process by SIGPIPE. SIGPIPE is ignored.

--- a/packages/daemon/src/AdminServer.cpp
+++ b/packages/daemon/src/AdminServer.cpp
@@ -100,6 +100,8 @@
                          { label },
                          static_cast<double>(aPorts.lines_->Dropped(logClass)));
   }
+  aPorts.metrics_->Set(
+    runtime::Family::LinesDropped, { "message" }, static_cast<double>(runtime::LogLinesDropped()));
   (void)aExchange.SendResponse(
     http::status::ok, aPorts.metrics_->PrometheusText(), "text/plain; version=0.0.4");
 }
--- a/packages/runtime/include/hemlockproxy/runtime/EventRing.h
+++ b/packages/runtime/include/hemlockproxy/runtime/EventRing.h
@@ -4,6 +4,7 @@
 #include "hemlockproxy/runtime/LogEvent.h"
 #include "hemlockproxy/runtime/StructuredLog.h"
 
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <mutex>
@@ -48,9 +49,16 @@
   std::deque<model::Event> events_;
 };
 
-/// Sets up logging to standard error; the level is debug, info, warn or error.
+/// Sets up logging to standard error; the level is debug, info, warn or error. A closed standard
+/// error or standard output no longer ends the process by SIGPIPE.
 void InitLogging(const std::string& aLevel);
 
+/// Waits until the lines so far have been written, for at most aLimit.
+void FlushLog(std::chrono::milliseconds aLimit);
+
+/// Returns how many lines were dropped because nobody read the output.
+[[nodiscard]] std::uint64_t LogLinesDropped();
+
 /// Changes the level of a log that was set up before.
 void SetLogLevel(const std::string& aLevel);
 
@@ -63,7 +71,9 @@
   Error,
 };
 
-/// Writes a log line with the part as its prefix.
+/// Writes a log line with the part as its prefix. Does not block on the output: a thread of its own
+/// writes the lines, and those beyond its buffer are dropped, counted and reported by one line when
+/// the output takes lines again.
 void Log(LogLevel aLevel, std::string_view aPart, const std::string& aMessage);
 
 } // namespace hemlockproxy::runtime
--- a/packages/runtime/src/EventRing.cpp
+++ b/packages/runtime/src/EventRing.cpp
@@ -1,37 +1,7 @@
 #include "hemlockproxy/runtime/EventRing.h"
 
-#include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
-#include <log4cxx/logger.h>
-#include <log4cxx/patternlayout.h>
-
 namespace hemlockproxy::runtime {
 
-namespace {
-
-log4cxx::LoggerPtr RootLogger()
-{
-  static const log4cxx::LoggerPtr kLogger = log4cxx::Logger::getRootLogger();
-  return kLogger;
-}
-
-log4cxx::LevelPtr ToLog4cxx(LogLevel aLevel)
-{
-  switch (aLevel) {
-    case LogLevel::Debug:
-      return log4cxx::Level::getDebug();
-    case LogLevel::Info:
-      return log4cxx::Level::getInfo();
-    case LogLevel::Warn:
-      return log4cxx::Level::getWarn();
-    case LogLevel::Error:
-      return log4cxx::Level::getError();
-  }
-  return log4cxx::Level::getInfo();
-}
-
-} // namespace
-
 model::HybridTimestamp EventRing::Add(LogEvent aEvent, std::string aDetail)
 {
   const std::string_view name = InfoOf(aEvent).name_;
@@ -85,25 +55,4 @@
   return dropped_;
 }
 
-void InitLogging(const std::string& aLevel)
-{
-  auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{ISO8601} %p %m%n"));
-  auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
-  log4cxx::BasicConfigurator::configure(appender);
-  SetLogLevel(aLevel);
-}
-
-void SetLogLevel(const std::string& aLevel)
-{
-  RootLogger()->setLevel(log4cxx::Level::toLevel(aLevel));
-}
-
-void Log(LogLevel aLevel, std::string_view aPart, const std::string& aMessage)
-{
-  const auto level = ToLog4cxx(aLevel);
-  if (RootLogger()->isEnabledFor(level)) {
-    RootLogger()->log(level, std::string(aPart) + ": " + aMessage);
-  }
-}
-
 } // namespace hemlockproxy::runtime
