Let the operator's bound replace the services' default for bodies

Cause: the lesser of the operator's max_body_bytes and the service's limit was in force, also where the service states none and its default of 8 MiB stood in. Bodies that a raised limit allows got 413 for good, at the entry and at the owner. Change: model::BodyLimit takes the default only where neither is stated. The bytes of responses that an owner holds become an option, with the former value.

--- a/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
@@ -35,6 +35,8 @@
   ExchangeOptions exchange_;
   /// How often the backend server of this instance reports.
   std::chrono::milliseconds reportInterval_{ 1000 };
+  /// Bounds the memory for response bodies that are being read.
+  std::size_t mostHeldBytes_ = 16UL * 1024 * 1024;
   /// When the daemon started; with the epoch, the first report of a backend server is trusted.
   model::WallTime daemonStart_{};
   DialectPtr dialect_;
--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -254,10 +254,7 @@
   const auto resource = content.find(target);
   const model::LimitSet limits =
     resource == content.end() ? model::LimitSet{} : resource->second->config_.limits_;
-  aCall.bodyLimit_ = model::EffectiveLimit(limits, model::LimitKind::BodyBytes);
-  if (const auto most = aView.routes_->Configuration().callerLimits_.bodyBytes_; most > 0) {
-    aCall.bodyLimit_ = std::min(aCall.bodyLimit_, most);
-  }
+  aCall.bodyLimit_ = model::BodyLimit(limits, aView.routes_->Configuration().callerLimits_);
   if (const auto length = aExchange.BodyLength(); length && *length > aCall.bodyLimit_) {
     return Refused(RequestOutcome::NotRun, RefusalReason::BodyTooLarge);
   }
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -27,8 +27,6 @@
 constexpr std::size_t kBackendIdleConnections = 64;
 /// A longer response body is passed on as it comes.
 constexpr std::size_t kMostHeldBody = 4UL * 1024 * 1024;
-/// Bounds the memory for bodies that are being read.
-constexpr std::size_t kMostHeldBytes = 16UL * 1024 * 1024;
 /// A part of the idle time, so that an idle connection lives little longer.
 constexpr std::chrono::milliseconds kPoolCheckInterval{ 1000 };
 constexpr std::chrono::milliseconds kAdmissionTick{ 5 };
@@ -369,7 +367,7 @@
                                      UpstreamReply aReply)
 {
   const auto length = impl::BodyLengthOf(aReply.header_);
-  if (!length || *length > kMostHeldBody || heldBytes_ + *length > kMostHeldBytes) {
+  if (!length || *length > kMostHeldBody || heldBytes_ + *length > options_.mostHeldBytes_) {
     aReply.body_ =
       std::make_unique<AdmittedBody>(*this, aId, aBackend.address_, std::move(aReply.body_));
     return aReply;
@@ -416,8 +414,9 @@
       service_ != aRequest.service_) {
     return Refused(RequestOutcome::NotRun, RefusalReason::NoEndpoint);
   }
-  const std::uint64_t bodyLimit =
-    model::EffectiveLimit(LimitsOf(*view, aRequest.service_), model::LimitKind::BodyBytes);
+  const std::uint64_t bodyLimit = model::BodyLimit(
+    LimitsOf(*view, aRequest.service_),
+    view->routes_ ? view->routes_->Configuration().callerLimits_ : model::CallerLimits{});
   if (aRequest.body_.size() > bodyLimit) {
     return Refused(RequestOutcome::NotRun, RefusalReason::BodyTooLarge);
   }
--- a/packages/model/include/hemlockproxy/model/Config.h
+++ b/packages/model/include/hemlockproxy/model/Config.h
@@ -116,7 +116,7 @@
 struct CallerLimits
 {
   std::uint32_t headerBytes_ = 16 * 1024;
-  /// 0 means no bound beside the services' own.
+  /// 0 means that none is stated: the services' own limits or their default are in force.
   std::uint64_t bodyBytes_ = 0;
   /// From the first byte of a request until its header is complete.
   std::chrono::milliseconds headerTimeout_{ 10000 };
@@ -143,6 +143,11 @@
 /// Returns whether a request on this route may run more than once.
 [[nodiscard]] bool IsRepeatable(const RouteRule& aRule, std::string_view aMethod) noexcept;
 
+/// Returns the bound of request bodies in force for a service, in bytes: the lesser of its own
+/// limit and the operator's where both are stated, the default where neither is.
+[[nodiscard]] std::uint64_t BodyLimit(const LimitSet& aLimits,
+                                      const CallerLimits& aCallerLimits) noexcept;
+
 /// Returns the limit in force for a service.
 [[nodiscard]] std::uint64_t EffectiveLimit(const LimitSet& aLimits, LimitKind aKind) noexcept;
 
--- a/packages/model/src/Config.cpp
+++ b/packages/model/src/Config.cpp
@@ -113,6 +113,16 @@
          kIdempotentMethods.end();
 }
 
+std::uint64_t BodyLimit(const LimitSet& aLimits, const CallerLimits& aCallerLimits) noexcept
+{
+  if (aCallerLimits.bodyBytes_ == 0) {
+    return EffectiveLimit(aLimits, LimitKind::BodyBytes);
+  }
+  const auto stated = aLimits.find(LimitKind::BodyBytes);
+  return stated == aLimits.end() ? aCallerLimits.bodyBytes_
+                                 : std::min(stated->second, aCallerLimits.bodyBytes_);
+}
+
 std::uint64_t EffectiveLimit(const LimitSet& aLimits, LimitKind aKind) noexcept
 {
   const auto found = aLimits.find(aKind);
