Count the wait for an acknowledgement from the oldest unacknowledged version

Cause: the limit of the wait (acknowledgementLimit_, 8 s) counted from the oldest version that was held and not enforced. In the failure of DistributionFuzz a starting daemon held versions 2 and 3, which its peer held too, for 8.1 s without being able to enforce them: the log was down and the floor was not settled. When the log came back it read version 4, the wait counted as spent, and it enforced version 4 in the same millisecond without a notice. It was killed; its peer had never heard of version 4, so that floor and the peer's memory said 3, and the new process enforced 3. Floor and peers' memory worked as designed; the reader's first enforcement let the version through.

Change: the wait begins anew when all that is held here is held by a peer.

--- a/packages/decisions/src/impl/DistributionEngine.cpp
+++ b/packages/decisions/src/impl/DistributionEngine.cpp
@@ -98,8 +98,10 @@
 
 void DistributionEngine::Hold(model::ConfigurationPtr aConfiguration, HandoverPtr aHandover)
 {
-  if (held_ == enforced_) {
-    unenforcedSince_ = now_;
+  // Once peers hold all that is held here, the wait of the next version begins anew, also where the
+  // start rule has kept this daemon from enforcing anything.
+  if (held_ == enforced_ || HeldVersion() <= peerHolds_) {
+    unacknowledgedSince_ = now_;
   }
   held_ = std::move(aConfiguration);
   handover_ = std::move(aHandover);
@@ -140,7 +142,7 @@
 bool DistributionEngine::NeedsAcknowledgement() const
 {
   return held_ && held_->version_ > peerHolds_ && !NoticePeers().empty() &&
-         now_ - unenforcedSince_ < options_.acknowledgementLimit_;
+         now_ - unacknowledgedSince_ < options_.acknowledgementLimit_;
 }
 
 void DistributionEngine::TryEnforce()
--- a/packages/decisions/src/impl/DistributionEngine.h
+++ b/packages/decisions/src/impl/DistributionEngine.h
@@ -104,8 +104,8 @@
   /// The highest version that another daemon of the own domain is known to hold; of any domain
   /// where this daemon is alone in its own.
   model::ConfigVersion peerHolds_;
-  /// When the oldest version was taken in of those that are held and have not been enforced.
-  model::TimePoint unenforcedSince_;
+  /// When the oldest version was taken in that waits for a peer to hold it or a newer one.
+  model::TimePoint unacknowledgedSince_;
   bool heldFromPeer_ = false;
   model::ConfigVersion floor_;
   bool floorSettled_ = false;
--- a/packages/decisions/tests/DistributionTest.cpp
+++ b/packages/decisions/tests/DistributionTest.cpp
@@ -173,6 +173,20 @@
   LONGS_EQUAL(1, Count<EnforceVersion>(NoticeAckReceived{ { Id(2), ConfigVersion(1) } }));
 }
 
+// Guards against a version that no peer holds and that is enforced at once since an earlier one,
+// which peers hold, waited long for the start rule.
+TEST(DistributionEnforcement, TheWaitForTheStartRuleIsNotPartOfTheWaitForAnAcknowledgement)
+{
+  (void)Count<EnforceVersion>(PeersChanged{ { { Id(1), Id(2) }, {} } });
+  (void)Count<EnforceVersion>(PeerVersionReported{ Id(2), ConfigVersion(1) });
+  LONGS_EQUAL(0, Count<EnforceVersion>(FetchResponded{ Id(2), Response(1) }));
+  LONGS_EQUAL(0,
+              Count<EnforceVersion>(LogVersionAccepted{ Config(2), nullptr },
+                                    options_.acknowledgementLimit_));
+  LONGS_EQUAL(0, Count<EnforceVersion>(LogTailReached{ now_ }));
+  LONGS_EQUAL(1, Count<EnforceVersion>(NoticeAckReceived{ { Id(2), ConfigVersion(2) } }));
+}
+
 // Guards against a failure domain in which nobody reads the log for a while after its start.
 TEST(DistributionEnforcement, ADaemonThatBecomesReadyReadsTheLogAtOnce)
 {
