Let an acknowledged departure of a backend server outlive its daemon

Cause: the list of backend servers that left lived in the process only. After a kill, two reports that were late by the same time arrived at the pace of reports, and BackendRegistry took that for a backend server that is there.

Change: before a departure (DELETE, or a report that says draining) is acknowledged, peers are told; a daemon that starts asks them before anything confirms a backend server that started before it.

--- a/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
@@ -10,6 +10,7 @@
 #include "hemlockproxy/daemon/Settings.h"
 #include "hemlockproxy/daemon/StatusSlot.h"
 #include "hemlockproxy/daemon/TrafficView.h"
+#include "hemlockproxy/decisions/DepartureBook.h"
 #include "hemlockproxy/decisions/Distribution.h"
 #include "hemlockproxy/decisions/Membership.h"
 #include "hemlockproxy/runtime/EventRing.h"
@@ -27,6 +28,10 @@
 
 namespace hemlockproxy::daemon {
 
+namespace impl {
+class PeerMemory;
+} // namespace impl
+
 /// The endpoint of this instance has changed; nothing while there is none.
 struct LocalEndpoint
 {
@@ -47,11 +52,20 @@
   wire::QuarantineRecords records_;
 };
 
+/// A backend server of this daemon has left, which peers are to remember.
+struct DepartureNews
+{
+  decisions::DepartureRecord departure_;
+  /// Called once peers have answered or could not be reached.
+  std::function<void()> done_;
+};
+
 /// What other threads tell the control thread.
 using ControlMessage = std::variant<LocalEndpoint,
                                     LogReadResult,
                                     LogAppendResult,
                                     QuarantineNews,
+                                    DepartureNews,
                                     LeavingCommand,
                                     StopCommand>;
 
@@ -77,6 +91,12 @@
   {
     onQuarantine_ = std::move(aReceiver);
   }
+  /// Sets the receiver of what peers remember of departures from before the start; the second
+  /// argument says that they have told all. It returns false when it is busy and must not block.
+  void OnDepartures(std::function<bool(std::vector<decisions::DepartureRecord>, bool)> aReceiver)
+  {
+    onDepartures_ = std::move(aReceiver);
+  }
   void Start();
   /// Hands over a message; returns false when the ring buffer is full.
   [[nodiscard]] bool Tell(ControlMessage aMessage) { return inbox_.TryPush(std::move(aMessage)); }
@@ -101,6 +121,7 @@
   void On(LogReadResult& aResult);
   void On(LogAppendResult& aResult);
   void On(QuarantineNews& aNews);
+  void On(DepartureNews& aNews);
   void On(LeavingCommand& aCommand);
   void On(StopCommand& aCommand);
 
@@ -157,6 +178,8 @@
   /// Null where no request carries an idempotency key.
   std::unique_ptr<ClaimService> claims_;
   std::function<void(wire::QuarantineRecords)> onQuarantine_;
+  std::function<bool(std::vector<decisions::DepartureRecord>, bool)> onDepartures_;
+  std::unique_ptr<impl::PeerMemory> peerMemory_;
   model::RandomSource random_;
   std::unordered_map<model::DaemonId, model::FailureDomain> domains_;
   std::vector<model::FailureDomain> unreachable_;
--- a/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
@@ -37,6 +37,8 @@
   std::chrono::milliseconds reportInterval_{ 1000 };
   /// When the daemon started; with the epoch, the first report of a backend server is trusted.
   model::WallTime daemonStart_{};
+  /// For this long after the start, peers are awaited that may know what left before it.
+  std::chrono::milliseconds peerWait_{ 0 };
   DialectPtr dialect_;
   decisions::TransferQueueOptions link_;
   /// Null writes no lines.
@@ -52,6 +54,9 @@
   using TellPeers = std::function<void(std::vector<decisions::QuarantineRecord>)>;
   /// Learns of each change of the endpoint; must not block.
   using OnEndpoint = std::function<void(std::optional<model::Endpoint>)>;
+  /// Has peers remember that a backend server left and calls the function, on any thread, once they
+  /// have answered or could not be reached; must not block.
+  using KeepDeparture = std::function<void(decisions::DepartureRecord, std::function<void()>)>;
 
   /// The references must outlive the service.
   OwnerService(runtime::IoContextPtr aIo,
@@ -78,11 +83,19 @@
   /// Takes in what another owner found out about suspected requests.
   void MergeQuarantine(const std::vector<decisions::QuarantineRecord>& aRecords);
 
+  /// Sets who remembers departures; without it they end with the process.
+  void SetKeepDeparture(KeepDeparture aKeep) { keepDeparture_ = std::move(aKeep); }
+  /// Takes in what peers remember of departures from before the start; aSettled says that they have
+  /// told all.
+  void RestoreDepartures(const std::vector<decisions::DepartureRecord>& aRecords, bool aSettled);
+
   /// Takes in a report of the backend server of this instance; its effect on new work is in force
-  /// when it returns. Returns false and changes nothing when the report would put a backend server
-  /// of a service that the configuration does not list in the place of the current one.
+  /// when it returns, and peers remember a departure that it tells. Returns false and changes
+  /// nothing when the report would put a backend server of a service that the configuration does
+  /// not list in the place of the current one.
   bool Report(const model::BackendReport& aReport);
-  /// The backend server leaves and gets no new work.
+  /// The backend server leaves and gets no new work; when it returns, peers remember it as far as
+  /// they could be reached in time.
   void BackendLeaves(const model::BackendId& aId);
 
   /// Takes a new view into use, so that draining starts without waiting for a request, and notices
@@ -104,6 +117,9 @@
   void ConfirmIfDue();
   /// The backend server or its state has changed.
   void BackendChanged(runtime::LogEvent aEvent);
+  /// Has peers remember a departure and waits for them, within the time in which a backend server
+  /// expects its answer.
+  void RememberDeparture(const model::BackendId& aId, std::optional<model::WallTime> aStartedAt);
   /// Returns what a request asks of the link.
   [[nodiscard]] decisions::TransferDemand DemandOf(model::TimePoint aNow,
                                                    const UpstreamRequest& aRequest) const;
@@ -150,6 +166,7 @@
   runtime::HttpConnectionPool pool_;
   TellPeers tellPeers_;
   OnEndpoint onEndpoint_;
+  KeepDeparture keepDeparture_;
   decisions::BackendRegistry registry_;
   decisions::StatedLimit limit_;
   decisions::Quarantine quarantine_;
--- a/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
@@ -19,6 +19,13 @@
 
 namespace hemlockproxy::daemon {
 
+/// What peers remember of departures from before the start; settled_ says that they told all.
+struct DeparturesKnown
+{
+  std::vector<decisions::DepartureRecord> records_;
+  bool settled_ = false;
+};
+
 /// Serves callers, other daemons and the backend server of this instance on a thread of its own.
 class TrafficThread : private BackendDesk
 {
@@ -46,6 +53,13 @@
   {
     return inbox_.TryPush(std::move(aRecords));
   }
+  /// Hands over what peers remember of departures; returns false when the ring buffer is full.
+  [[nodiscard]] bool Tell(DeparturesKnown aKnown) { return inbox_.TryPush(std::move(aKnown)); }
+  /// Sets who remembers departures; to be called before Start.
+  void SetKeepDeparture(OwnerService::KeepDeparture aKeep)
+  {
+    owner_.SetKeepDeparture(std::move(aKeep));
+  }
   /// Hands over a report of the backend server; returns false when the ring buffer is full.
   [[nodiscard]] bool Announce(model::BackendReport aReport)
   {
@@ -70,7 +84,8 @@
 
 private:
   /// What other threads tell the traffic thread.
-  using Message = std::variant<std::vector<decisions::QuarantineRecord>, model::BackendReport>;
+  using Message =
+    std::variant<std::vector<decisions::QuarantineRecord>, model::BackendReport, DeparturesKnown>;
 
   TrafficThread(const Settings& aSettings,
                 const Adapters& aAdapters,
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -1,6 +1,7 @@
 #include "hemlockproxy/daemon/ControlThread.h"
 
 #include "impl/ControlCalls.h"
+#include "impl/PeerMemory.h"
 
 #include "hemlockproxy/daemon/OperatorConfigSource.h"
 #include "hemlockproxy/daemon/PublishedConfigSource.h"
@@ -184,6 +185,16 @@
   transport_->OnCall(impl::kFetchPath, [this](const std::string& aBody) { return OnFetch(aBody); });
   transport_->OnCall(impl::kQuarantinePath,
                      [this](const std::string& aBody) { return OnQuarantineReport(aBody); });
+  peerMemory_ = std::make_unique<impl::PeerMemory>(
+    *transport_,
+    IdOf(settings_),
+    settings_.domain_,
+    [this] { return membership_.Members(); },
+    [this](std::vector<decisions::DepartureRecord> aRecords, bool aSettled) {
+      return onDepartures_(std::move(aRecords), aSettled);
+    });
+  transport_->OnCall(impl::kDeparturesPath,
+                     [this](const std::string& aBody) { return peerMemory_->HandleCall(aBody); });
   if (claims_) {
     transport_->OnCall(kClaimsPath,
                        [this](const std::string& aBody) { return claims_->HandleCall(aBody); });
@@ -224,6 +235,7 @@
     claims_->Tick(Now());
   }
   ReadLogIfDue();
+  peerMemory_->Tick(Now());
   if (membership_.Live(settings_.domain_).size() <= 1) {
     memberStream_.Refresh();
   } else {
@@ -292,6 +304,11 @@
   }
 }
 
+void ControlThread::On(DepartureNews& aNews)
+{
+  peerMemory_->Tell(std::move(aNews.departure_), std::move(aNews.done_));
+}
+
 std::optional<std::string> ControlThread::OnQuarantineReport(const std::string& aBody)
 {
   auto records = wire::DecodeQuarantineReport(aBody);
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -239,6 +239,15 @@
   }
   (*control)->OnQuarantine(
     [&traffic](wire::QuarantineRecords aRecords) { (void)(*traffic)->Tell(std::move(aRecords)); });
+  (*traffic)->SetKeepDeparture(
+    [&control](decisions::DepartureRecord aDeparture, std::function<void()> aDone) {
+      // A full ring buffer leaves the departure unremembered, like peers that are away.
+      (void)(*control)->Tell(DepartureNews{ std::move(aDeparture), std::move(aDone) });
+    });
+  (*control)->OnDepartures(
+    [&traffic](std::vector<decisions::DepartureRecord> aRecords, bool aSettled) {
+      return (*traffic)->Tell(DeparturesKnown{ std::move(aRecords), aSettled });
+    });
   AdminPorts ports;
   ports.name_ = aSettings.name_;
   ports.status_ = &status;
--- a/packages/daemon/src/OwnerBackend.cpp
+++ b/packages/daemon/src/OwnerBackend.cpp
@@ -2,6 +2,8 @@
 
 #include "hemlockproxy/daemon/OwnerService.h"
 
+#include <boost/fiber/future/promise.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -14,6 +16,8 @@
 /// A health check waits for a slot like a request.
 constexpr std::chrono::milliseconds kHealthTimeout{ 1000 };
 constexpr std::size_t kMostHealthBytes = 64UL * 1024;
+/// A backend server expects the answer to a report or departure within a second.
+constexpr std::chrono::milliseconds kDepartureWait{ 700 };
 
 } // namespace
 
@@ -40,15 +44,45 @@
     BackendChanged(!drained && registry_.Current()->draining_
                      ? runtime::LogEvent::EndpointDraining
                      : runtime::LogEvent::EndpointAnnounced);
+    if (registry_.Current()->draining_ && !(sameStart && drained)) {
+      RememberDeparture(aReport.id_, aReport.startedAt_);
+    }
   }
   return true;
 }
 
 void OwnerService::BackendLeaves(const model::BackendId& aId)
 {
+  const auto& current = registry_.Current();
+  const auto startedAt =
+    current && current->id_ == aId ? std::optional(current->startedAt_) : std::nullopt;
   if (registry_.Leave(std::chrono::steady_clock::now(), aId)) {
     BackendChanged(runtime::LogEvent::EndpointLeft);
   }
+  RememberDeparture(aId, startedAt);
+}
+
+void OwnerService::RememberDeparture(const model::BackendId& aId,
+                                     std::optional<model::WallTime> aStartedAt)
+{
+  if (!keepDeparture_ || aId.Empty()) {
+    return;
+  }
+  const auto done = std::make_shared<boost::fibers::promise<void>>();
+  auto remembered = done->get_future();
+  keepDeparture_({ aId, aStartedAt, {} }, [done] { done->set_value(); });
+  (void)remembered.wait_for(kDepartureWait);
+}
+
+void OwnerService::RestoreDepartures(const std::vector<decisions::DepartureRecord>& aRecords,
+                                     bool aSettled)
+{
+  if (registry_.Restore(std::chrono::steady_clock::now(), aRecords)) {
+    BackendChanged(runtime::LogEvent::EndpointLeft);
+  }
+  if (aSettled) {
+    registry_.PeersHeard();
+  }
 }
 
 void OwnerService::BackendChanged(runtime::LogEvent aEvent)
@@ -63,7 +97,8 @@
 
 void OwnerService::ConfirmIfDue()
 {
-  if (!registry_.AwaitsConfirmation() || !seen_ || !seen_->routes_) {
+  if (!registry_.AwaitsConfirmation() || !seen_ || !seen_->routes_ ||
+      !registry_.MayConfirm(std::chrono::steady_clock::now())) {
     return;
   }
   const model::BackendReport backend = *registry_.Current();
@@ -112,6 +147,10 @@
 {
   if (aStatus.leaving_ && registry_.SaysItLeaves(aBackend.id_, aBackend.startedAt_)) {
     BackendChanged(runtime::LogEvent::EndpointDraining);
+    // The response must not wait for peers.
+    runtime::SpawnFiber([this, id = aBackend.id_, startedAt = aBackend.startedAt_] {
+      RememberDeparture(id, startedAt);
+    });
   }
   const auto now = std::chrono::steady_clock::now();
   const bool limited = limit_.PerSecond().has_value();
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -139,8 +139,10 @@
   , pool_(io_, kBackendIdleConnections, kBackendIdleTime)
   , tellPeers_(std::move(aTellPeers))
   , onEndpoint_(std::move(aOnEndpoint))
-  , registry_(*decisions::BackendRegistry::Create(
-      { .interval_ = options_.reportInterval_, .daemonStart_ = options_.daemonStart_ }))
+  , registry_(*decisions::BackendRegistry::Create({ .interval_ = options_.reportInterval_,
+                                                    .daemonStart_ = options_.daemonStart_,
+                                                    .start_ = std::chrono::steady_clock::now(),
+                                                    .peerWait_ = options_.peerWait_ }))
   , quarantine_(*decisions::Quarantine::Create({}))
   , link_(std::make_unique<impl::LinkScheduler>(*decisions::TransferQueue::Create(options_.link_)))
 {
--- /dev/null
+++ b/packages/daemon/src/PeerMemory.cpp
@@ -0,0 +1,137 @@
+#include "impl/PeerMemory.h"
+
+#include "impl/ControlCalls.h"
+
+#include "hemlockproxy/decisions/RendezvousHash.h"
+#include "hemlockproxy/runtime/FiberLoop.h"
+#include "hemlockproxy/wire/DepartureCodec.h"
+
+#include <algorithm>
+#include <map>
+
+namespace hemlockproxy::daemon::impl {
+
+using decisions::DepartureReport;
+
+namespace {
+
+/// Peers that hold a daemon's departures: enough that one of them outlives the daemon when single
+/// processes fail, or a failure domain.
+constexpr std::size_t kOwnHolders = 3;
+constexpr std::size_t kHoldersElsewhere = 1;
+/// A restarted daemon asks more than it told, since members may have come or gone meanwhile.
+constexpr std::size_t kMoreAsked = 2;
+/// A backend server is answered within a second, also when a peer that is asked has vanished.
+constexpr std::chrono::milliseconds kPeerTimeout{ 500 };
+constexpr std::chrono::milliseconds kAskAgain{ 500 };
+
+} // namespace
+
+PeerMemory::PeerMemory(ControlTransport& aTransport,
+                       model::DaemonId aSelf,
+                       model::FailureDomain aDomain,
+                       std::function<Members()> aMembers,
+                       OnDepartures aOnDepartures)
+  : transport_(aTransport)
+  , self_(std::move(aSelf))
+  , domain_(std::move(aDomain))
+  , members_(std::move(aMembers))
+  , onDepartures_(std::move(aOnDepartures))
+{
+}
+
+std::vector<model::Address> PeerMemory::Holders(std::size_t aOwn, std::size_t aOther) const
+{
+  std::map<model::FailureDomain, std::vector<model::DaemonId>> domains;
+  std::map<model::DaemonId, model::Address> addresses;
+  for (const auto& member : members_()) {
+    if (member->id_ != self_ && member->state_ == model::MemberState::Alive) {
+      domains[member->domain_].push_back(member->id_);
+      addresses[member->id_] = member->control_;
+    }
+  }
+  std::vector<model::Address> holders;
+  const std::string role = "departures " + self_.Value();
+  for (const auto& [domain, ids] : domains) {
+    const std::size_t count = domain == domain_ ? aOwn : aOther;
+    for (const model::DaemonId& id : decisions::ChooseByRendezvous(role, ids, count)) {
+      holders.push_back(addresses[id]);
+    }
+  }
+  return holders;
+}
+
+void PeerMemory::CallAll(const std::vector<model::Address>& aPeers,
+                         const DepartureReport& aReport,
+                         std::function<void(const DepartureReport&)> aOnAnswer,
+                         std::function<void(std::size_t)> aOnEnd)
+{
+  if (aPeers.empty()) {
+    aOnEnd(0);
+    return;
+  }
+  auto round = std::make_shared<Round>(Round{ aPeers.size(), 0 });
+  const std::string body = wire::EncodeDepartureReport(aReport);
+  for (const model::Address& peer : aPeers) {
+    runtime::SpawnFiber([this, round, peer, body, aOnAnswer, aOnEnd] {
+      const auto answer = transport_.Call(peer, kDeparturesPath, body, kPeerTimeout);
+      if (const auto known =
+            answer ? wire::DecodeDepartureReport(*answer)
+                   : model::Result<DepartureReport, wire::DecodeError>(wire::DecodeError{})) {
+        ++round->answered_;
+        aOnAnswer(*known);
+      }
+      if (--round->open_ == 0) {
+        aOnEnd(round->answered_);
+      }
+    });
+  }
+}
+
+void PeerMemory::Tell(decisions::DepartureRecord aDeparture, std::function<void()> aDone)
+{
+  CallAll(
+    Holders(kOwnHolders, kHoldersElsewhere),
+    { self_, { std::move(aDeparture) } },
+    [](const DepartureReport&) {},
+    [done = std::move(aDone)](std::size_t) { done(); });
+}
+
+std::optional<std::string> PeerMemory::HandleCall(const std::string& aBody)
+{
+  const auto report = wire::DecodeDepartureReport(aBody);
+  if (!report) {
+    return std::nullopt;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  book_.Take(now, *report);
+  return wire::EncodeDepartureReport(book_.Of(now, report->owner_));
+}
+
+void PeerMemory::Tick(model::TimePoint aNow)
+{
+  if (heard_ || asking_ || aNow < nextAsk_) {
+    return;
+  }
+  const auto peers = Holders(kOwnHolders + kMoreAsked, kHoldersElsewhere + 1);
+  if (peers.empty()) {
+    return;
+  }
+  asking_ = true;
+  lost_ = false;
+  CallAll(
+    peers,
+    { self_, {} },
+    [this](const DepartureReport& aKnown) {
+      if (aKnown.owner_ == self_) {
+        lost_ = !onDepartures_(aKnown.records_, false) || lost_;
+      }
+    },
+    [this](std::size_t aAnswered) {
+      asking_ = false;
+      nextAsk_ = std::chrono::steady_clock::now() + kAskAgain;
+      heard_ = aAnswered > 0 && !lost_ && onDepartures_({}, true);
+    });
+}
+
+} // namespace hemlockproxy::daemon::impl
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -13,6 +13,8 @@
 /// Without requests the thread wakes less often, since each wake-up costs the spin time.
 constexpr std::chrono::milliseconds kIdleInterval{ 100 };
 constexpr std::size_t kInboxMessages = 64;
+/// A daemon joins and hears of its former process within less where a peer can be reached.
+constexpr std::chrono::milliseconds kPeerWait{ 3000 };
 /// A thread that is this late takes a noticeable part of the callers' latency targets.
 constexpr std::chrono::milliseconds kLateDelay{ 100 };
 /// Well below kLateDelay, so that a thread that is about as late as that is reported once.
@@ -49,6 +51,7 @@
   options.exchange_.stallTimeout_ = aSettings.stallTimeout_;
   options.reportInterval_ = aSettings.announceInterval_;
   options.daemonStart_ = model::WallNow();
+  options.peerWait_ = kPeerWait;
   options.link_.bytesPerSecond_ = aSettings.linkBytesPerSecond_;
   options.dialect_ = aAdapters.dialect_;
   options.lines_ = &aLines;
@@ -250,6 +253,8 @@
     while (inbox_.Pop(message)) {
       if (const auto* report = std::get_if<model::BackendReport>(&message)) {
         (void)owner_.Report(*report);
+      } else if (const auto* known = std::get_if<DeparturesKnown>(&message)) {
+        owner_.RestoreDepartures(known->records_, known->settled_);
       } else {
         owner_.MergeQuarantine(std::get<std::vector<decisions::QuarantineRecord>>(message));
       }
--- a/packages/daemon/tests/RestartedOwnerTest.cpp
+++ b/packages/daemon/tests/RestartedOwnerTest.cpp
@@ -121,3 +121,50 @@
     LONGS_EQUAL(200, StatusOf(*aIo, forward.Address(), ForwardedRequest(forward.Address())));
   });
 }
+
+// Guards against an acknowledgement of a departure that only this process knows of, and against one
+// that waits for peers for longer than a backend server waits for its answer.
+TEST(RestartedOwner, AcknowledgesADepartureOncePeersRememberIt)
+{
+  runtime::RunInLoop([this](const runtime::IoContextPtr& aIo) {
+    CountingServer backend(aIo);
+    backend.SetField("Test-Backend", "i-7f");
+    const auto owner = Start(aIo, backend.Address());
+    std::vector<decisions::DepartureRecord> kept;
+    std::function<void()> done;
+    owner->SetKeepDeparture([&](decisions::DepartureRecord aDeparture, auto aDone) {
+      kept.push_back(std::move(aDeparture));
+      done = std::move(aDone);
+    });
+    bool acknowledged = false;
+    runtime::SpawnFiber([&] {
+      owner->BackendLeaves(model::BackendId("i-7f"));
+      acknowledged = true;
+    });
+    boost::this_fiber::sleep_for(kSettle);
+    CHECK_FALSE(published_.has_value());
+    CHECK_FALSE(acknowledged);
+    done();
+    boost::this_fiber::sleep_for(kSettle);
+    CHECK_TRUE(acknowledged);
+    LONGS_EQUAL(1, kept.size());
+    CHECK_TRUE(kept[0].startedAt_ == model::WallTime(std::chrono::minutes(1)));
+    // Nobody answers for this one.
+    owner->BackendLeaves(model::BackendId("i-80"));
+    LONGS_EQUAL(2, kept.size());
+  });
+}
+
+// Guards against a health check or a report that brings back what peers know to have left.
+TEST(RestartedOwner, GivesNoWorkToWhatPeersRememberAsLeft)
+{
+  runtime::RunInLoop([this](const runtime::IoContextPtr& aIo) {
+    CountingServer backend(aIo);
+    backend.SetField("Test-Backend", "i-7f");
+    const auto owner = Start(aIo, backend.Address());
+    CHECK_TRUE(published_ && !published_->draining_);
+    owner->RestoreDepartures(
+      { { model::BackendId("i-7f"), model::WallTime(std::chrono::minutes(1)), {} } }, true);
+    CHECK_FALSE(published_.has_value());
+  });
+}
--- a/packages/decisions/include/hemlockproxy/decisions/BackendRegistry.h
+++ b/packages/decisions/include/hemlockproxy/decisions/BackendRegistry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockproxy/decisions/DepartureBook.h"
 #include "hemlockproxy/model/BackendReport.h"
 #include "hemlockproxy/model/Clock.h"
 #include "hemlockproxy/model/Result.h"
@@ -9,6 +10,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace hemlockproxy::decisions {
 
@@ -21,6 +23,10 @@
   /// When the daemon started, by its wall clock; the epoch when that does not matter. What left
   /// before then is not remembered.
   model::WallTime daemonStart_{};
+  /// The same moment by the clock of the calls.
+  model::TimePoint start_{};
+  /// For this long after the start, peers are awaited that may know what left before it.
+  std::chrono::milliseconds peerWait_{ 0 };
 };
 
 struct BackendRegistryError
@@ -46,7 +52,9 @@
 ///
 /// A daemon that restarts beside a backend server does not know whether it has left meanwhile, and
 /// its first report may be a late one. Such a backend server gets no work until it is confirmed: by
-/// a health check, or by a report that follows at the pace of reports.
+/// a health check, or by a report that follows at the pace of reports. Both count only after peers
+/// have told what left, or could not be reached in time; without peers, reports count that were
+/// sent after the start of the daemon.
 class BackendRegistry
 {
 public:
@@ -66,6 +74,16 @@
   bool Confirm(const model::BackendId& aId, model::WallTime aStartedAt);
   /// Returns whether the backend server is not confirmed yet.
   [[nodiscard]] bool AwaitsConfirmation() const noexcept { return current_ && !confirmed_; }
+  /// Returns whether a confirmation counts at this time.
+  [[nodiscard]] bool MayConfirm(model::TimePoint aNow) const noexcept
+  {
+    return peersHeard_ || aNow >= options_.start_ + options_.peerWait_;
+  }
+  /// Takes in what peers know of earlier departures; returns whether the current backend server is
+  /// one of them and was dropped.
+  bool Restore(model::TimePoint aNow, const std::vector<DepartureRecord>& aRecords);
+  /// Peers have told all that they know of earlier departures.
+  void PeersHeard() noexcept { peersHeard_ = true; }
   /// Forgets a backend server whose reports have stopped; returns whether it did.
   bool Tick(model::TimePoint aNow);
 
@@ -95,6 +113,8 @@
   {
   }
 
+  /// Returns whether reports at the usual pace show that the backend server is there.
+  [[nodiscard]] bool PaceConfirms(model::TimePoint aNow) const noexcept;
   [[nodiscard]] bool HasDeparted(model::TimePoint aNow, const model::BackendReport& aReport) const;
   void RememberDeparture(model::TimePoint aNow,
                          const model::BackendId& aId,
@@ -103,6 +123,7 @@
   BackendRegistryOptions options_;
   std::optional<model::BackendReport> current_;
   bool confirmed_ = true;
+  bool peersHeard_ = false;
   /// When the first report of the current start came.
   model::TimePoint known_{};
   model::TimePoint renewed_{};
--- a/packages/decisions/include/hemlockproxy/decisions/Decisions.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Decisions.h
@@ -12,6 +12,7 @@
 #include "hemlockproxy/decisions/ConfigReplay.h"
 #include "hemlockproxy/decisions/ConfigRules.h"
 #include "hemlockproxy/decisions/CustomerIndex.h"
+#include "hemlockproxy/decisions/DepartureBook.h"
 #include "hemlockproxy/decisions/Distribution.h"
 #include "hemlockproxy/decisions/DistributionMessages.h"
 #include "hemlockproxy/decisions/Drain.h"
--- a/packages/decisions/src/BackendRegistry.cpp
+++ b/packages/decisions/src/BackendRegistry.cpp
@@ -57,7 +57,7 @@
     confirmed_ = !ordered || options_.daemonStart_ == model::WallTime() ||
                  next.startedAt_ + kStartMargin > options_.daemonStart_;
     known_ = aNow;
-  } else if (aNow - known_ >= options_.interval_ / 2) {
+  } else if (aNow - known_ >= options_.interval_ / 2 && PaceConfirms(aNow)) {
     // Reports that were held up arrive together; this one came at the pace of reports.
     confirmed_ = true;
   }
@@ -108,6 +108,27 @@
   return true;
 }
 
+bool BackendRegistry::Restore(TimePoint aNow, const std::vector<DepartureRecord>& aRecords)
+{
+  for (const DepartureRecord& record : aRecords) {
+    RememberDeparture(aNow - record.age_, record.id_, record.startedAt_);
+  }
+  const bool dropped = current_ && HasDeparted(aNow, *current_);
+  if (dropped) {
+    current_.reset();
+  }
+  return dropped;
+}
+
+bool BackendRegistry::PaceConfirms(TimePoint aNow) const noexcept
+{
+  // Reports that are equally late come at the pace of reports, too. What arrives this long after
+  // the start of the daemon was sent after it, and so after all departures that the daemon's former
+  // process has acknowledged.
+  return peersHeard_ || options_.daemonStart_ == model::WallTime() ||
+         aNow >= options_.start_ + kLatestReport;
+}
+
 bool BackendRegistry::HasDeparted(TimePoint aNow, const BackendReport& aReport) const
 {
   return std::any_of(departed_.begin(), departed_.end(), [&](const Departed& aOne) {
@@ -123,6 +144,13 @@
                                         const BackendId& aId,
                                         std::optional<model::WallTime> aStartedAt)
 {
+  const auto same = std::find_if(departed_.begin(), departed_.end(), [&](const Departed& aOne) {
+    return aOne.id_ == aId && aOne.startedAt_ == aStartedAt;
+  });
+  if (same != departed_.end()) {
+    same->at_ = std::max(same->at_, aNow);
+    return;
+  }
   departed_.push_back(Departed{ aId, aStartedAt, aNow });
   if (departed_.size() > kMostDeparted) {
     departed_.pop_front();
--- a/packages/wire/include/hemlockproxy/wire/Wire.h
+++ b/packages/wire/include/hemlockproxy/wire/Wire.h
@@ -4,6 +4,7 @@
 
 #include "hemlockproxy/wire/ClaimsCodec.h"
 #include "hemlockproxy/wire/ConfigCodec.h"
+#include "hemlockproxy/wire/DepartureCodec.h"
 #include "hemlockproxy/wire/DistributionCodec.h"
 #include "hemlockproxy/wire/MembershipCodec.h"
 #include "hemlockproxy/wire/QuarantineCodec.h"
--- a/packages/wire/tests/DecoderFuzzTest.cpp
+++ b/packages/wire/tests/DecoderFuzzTest.cpp
@@ -1,5 +1,6 @@
 #include "hemlockproxy/wire/ClaimsCodec.h"
 #include "hemlockproxy/wire/ConfigCodec.h"
+#include "hemlockproxy/wire/DepartureCodec.h"
 #include "hemlockproxy/wire/DistributionCodec.h"
 #include "hemlockproxy/wire/MembershipCodec.h"
 #include "hemlockproxy/wire/QuarantineCodec.h"
@@ -94,6 +95,17 @@
   Fuzz(wire::EncodeConfigRecord(model::ConfigRecord(checkpoint)), wire::DecodeConfigRecord);
 }
 
+TEST(DecoderFuzz, DepartureReports)
+{
+  const decisions::DepartureReport report{
+    SampleMember()->id_,
+    { { model::BackendId("i-7f"), model::WallTime(std::chrono::hours(1)), std::chrono::seconds(2) },
+      { model::BackendId("i-80"), std::nullopt, std::chrono::seconds(3) } }
+  };
+  CHECK_TRUE(*wire::DecodeDepartureReport(wire::EncodeDepartureReport(report)) == report);
+  Fuzz(wire::EncodeDepartureReport(report), wire::DecodeDepartureReport);
+}
+
 TEST(DecoderFuzz, QuarantineReports)
 {
   Fuzz(wire::EncodeQuarantineReport({}), wire::DecodeQuarantineReport);
