Ask other owners for suspected requests before the endpoint is published

Cause: suspected and quarantined requests are told to the owners that have an endpoint of the service at the moment of the crash. A daemon that starts or comes back later was told nothing (Quarantine::Records had no caller) and let such a request crash its backend server three times more.

Change: a daemon whose endpoint becomes known, for the first time or again, asks up to four other owners of its service and publishes the endpoint after their answers, at the latest 2 s later when it finds no members. It asks again, without holding the endpoint back, after a failure domain has become reachable or after it stood still for 2 s. docs/decisions/poison-requests.md has what was weighed.

--- a/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
@@ -86,11 +86,19 @@
   ControlThread(const ControlThread&) = delete;
   ControlThread& operator=(const ControlThread&) = delete;
 
-  /// Sets the receiver of suspected requests that other owners report; it must not block.
-  void OnQuarantine(std::function<void(wire::QuarantineRecords)> aReceiver)
+  /// Sets the receiver of suspected requests that other owners report; it returns false when it is
+  /// busy and must not block.
+  void OnQuarantine(std::function<bool(wire::QuarantineRecords)> aReceiver)
   {
     onQuarantine_ = std::move(aReceiver);
   }
+  /// Receives all records of this daemon, on any thread.
+  using QuarantineReader = std::function<void(wire::QuarantineRecords)>;
+  /// Sets who reads this daemon's records; it returns false when it is busy and must not block.
+  void SetReadQuarantine(std::function<bool(QuarantineReader)> aRead)
+  {
+    readQuarantine_ = std::move(aRead);
+  }
   /// Sets the receiver of what peers remember of departures from before the start; the second
   /// argument says that they have told all. It returns false when it is busy and must not block.
   void OnDepartures(std::function<bool(std::vector<decisions::DepartureRecord>, bool)> aReceiver)
@@ -130,6 +138,16 @@
   [[nodiscard]] std::optional<std::string> OnFetch(const std::string& aBody);
   [[nodiscard]] std::optional<std::string> OnQuarantineReport(const std::string& aBody);
 
+  /// Returns the other owners of a service.
+  [[nodiscard]] std::vector<model::Address> OwnersOf(const model::ServiceName& aService) const;
+  /// Asks other owners for suspected requests, before the endpoint is published for the first time
+  /// and after this daemon was away.
+  void TickQuarantine();
+  void AskQuarantine(const model::Address& aOwner);
+  void PublishHeldEndpoint();
+  /// Makes the endpoint of this daemon known to the membership.
+  void Apply(std::optional<model::Endpoint> aEndpoint);
+
   /// Handles an event and executes its actions; returns the reply among them, if any. An exception
   /// would leave the state between two events, so that it ends the process.
   std::optional<decisions::SyncResponse> Membership(
@@ -177,13 +195,26 @@
   PlatformThread platform_;
   /// Null where no request carries an idempotency key.
   std::unique_ptr<ClaimService> claims_;
-  std::function<void(wire::QuarantineRecords)> onQuarantine_;
+  std::function<bool(wire::QuarantineRecords)> onQuarantine_;
+  std::function<bool(QuarantineReader)> readQuarantine_;
   std::function<bool(std::vector<decisions::DepartureRecord>, bool)> onDepartures_;
   std::unique_ptr<impl::PeerMemory> peerMemory_;
   model::RandomSource random_;
   std::unordered_map<model::DaemonId, model::FailureDomain> domains_;
   std::vector<model::FailureDomain> unreachable_;
   std::optional<model::Endpoint> local_;
+  /// The endpoint while other owners are asked for suspected requests.
+  std::optional<model::Endpoint> heldLocal_;
+  /// Whether an endpoint of the present service has been published.
+  bool published_ = false;
+  bool quarantineHeard_ = false;
+  bool askingQuarantine_ = false;
+  model::TimePoint nextQuarantineAsk_{};
+  /// The service of the endpoint that is published or held; empty without one.
+  model::ServiceName quarantineService_;
+  /// When the held endpoint is published without an answer.
+  model::TimePoint publishBy_{};
+  model::TimePoint lastTick_{};
   model::ConfigVersion floor_;
   decisions::RouteIndexPtr routes_;
   bool ready_ = false;
--- a/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
@@ -83,6 +83,12 @@
   /// Takes in what another owner found out about suspected requests.
   void MergeQuarantine(const std::vector<decisions::QuarantineRecord>& aRecords);
 
+  /// Returns what is known of suspected requests, for owners that join.
+  [[nodiscard]] std::vector<decisions::QuarantineRecord> QuarantineRecords() const
+  {
+    return quarantine_.Records(std::chrono::steady_clock::now());
+  }
+
   /// Sets who remembers departures; without it they end with the process.
   void SetKeepDeparture(KeepDeparture aKeep) { keepDeparture_ = std::move(aKeep); }
   /// Takes in what peers remember of departures from before the start; aSettled says that they have
--- a/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
@@ -26,6 +26,12 @@
   bool settled_ = false;
 };
 
+/// Asks for all that is known of suspected requests.
+struct QuarantineQuestion
+{
+  std::function<void(std::vector<decisions::QuarantineRecord>)> reader_;
+};
+
 /// Serves callers, other daemons and the backend server of this instance on a thread of its own.
 class TrafficThread : private BackendDesk
 {
@@ -55,6 +61,11 @@
   }
   /// Hands over what peers remember of departures; returns false when the ring buffer is full.
   [[nodiscard]] bool Tell(DeparturesKnown aKnown) { return inbox_.TryPush(std::move(aKnown)); }
+  /// Asks for suspected requests; returns false when the ring buffer is full.
+  [[nodiscard]] bool Tell(QuarantineQuestion aQuestion)
+  {
+    return inbox_.TryPush(std::move(aQuestion));
+  }
   /// Sets who remembers departures; to be called before Start.
   void SetKeepDeparture(OwnerService::KeepDeparture aKeep)
   {
@@ -84,8 +95,10 @@
 
 private:
   /// What other threads tell the traffic thread.
-  using Message =
-    std::variant<std::vector<decisions::QuarantineRecord>, model::BackendReport, DeparturesKnown>;
+  using Message = std::variant<std::vector<decisions::QuarantineRecord>,
+                               model::BackendReport,
+                               DeparturesKnown,
+                               QuarantineQuestion>;
 
   TrafficThread(const Settings& aSettings,
                 const Adapters& aAdapters,
--- a/packages/daemon/src/ControlActions.cpp
+++ b/packages/daemon/src/ControlActions.cpp
@@ -75,6 +75,9 @@
   std::erase(unreachable_, aAction.domain_);
   if (!aAction.reachable_) {
     unreachable_.push_back(aAction.domain_);
+  } else {
+    // Owners beyond the cut have found out what this one has not been told.
+    quarantineHeard_ = false;
   }
   Do(decisions::RolesChanged{});
 }
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -21,6 +21,10 @@
 
 constexpr std::size_t kInboxMessages = 1024;
 constexpr std::chrono::milliseconds kTick{ 100 };
+/// An endpoint whose daemon finds no members within this time is published all the same.
+constexpr std::chrono::milliseconds kPublishWithin{ 2000 };
+/// Calls of peers end unanswered when the process stands still for longer.
+constexpr std::chrono::milliseconds kLongGap{ 2000 };
 
 /// With the profile fast, news of other domains and the return of a lost member take about a second
 /// rather than several.
@@ -168,6 +172,7 @@
 void ControlThread::Start()
 {
   platform_.Start();
+  lastTick_ = Now();
   thread_ = std::thread([this] { runtime::RunFiberLoop(io_, [this] { Main(); }); });
 }
 
@@ -236,6 +241,12 @@
   }
   ReadLogIfDue();
   peerMemory_->Tick(Now());
+  if (Now() - lastTick_ > kLongGap) {
+    // What other owners found out while this process stood still was not delivered.
+    quarantineHeard_ = false;
+  }
+  lastTick_ = Now();
+  TickQuarantine();
   if (membership_.Live(settings_.domain_).size() <= 1) {
     memberStream_.Refresh();
   } else {
@@ -248,10 +259,29 @@
 
 void ControlThread::On(LocalEndpoint& aLocal)
 {
-  if (local_ == aLocal.endpoint_) {
+  const auto service = aLocal.endpoint_ ? aLocal.endpoint_->service_ : model::ServiceName();
+  if (service != quarantineService_) {
+    // Owners are told of suspects only while they have an endpoint of the service.
+    quarantineService_ = service;
+    quarantineHeard_ = published_ = false;
+    publishBy_ = Now() + kPublishWithin;
+  }
+  if (!aLocal.endpoint_ || published_ || quarantineHeard_) {
+    heldLocal_.reset();
+    Apply(std::move(aLocal.endpoint_));
+    return;
+  }
+  // Nobody sends work before the endpoint is known.
+  heldLocal_ = std::move(aLocal.endpoint_);
+  TickQuarantine();
+}
+
+void ControlThread::Apply(std::optional<model::Endpoint> aEndpoint)
+{
+  if (local_ == aEndpoint) {
     return;
   }
-  local_ = std::move(aLocal.endpoint_);
+  local_ = std::move(aEndpoint);
   dirty_ = true;
   Membership(decisions::LocalEndpointChanged{ local_ });
 }
@@ -287,40 +317,11 @@
   }
 }
 
-void ControlThread::On(QuarantineNews& aNews)
-{
-  if (!local_) {
-    return;
-  }
-  const std::string body = wire::EncodeQuarantineReport(aNews.records_);
-  for (const auto& member : membership_.Members()) {
-    const bool owner = member->state_ == model::MemberState::Alive && member->endpoint_ &&
-                       member->endpoint_->service_ == local_->service_;
-    if (owner && member->id_ != membership_.Self()->id_) {
-      runtime::SpawnFiber([this, to = member->control_, body] {
-        (void)transport_->Call(to, impl::kQuarantinePath, body, impl::kCallTimeout);
-      });
-    }
-  }
-}
-
 void ControlThread::On(DepartureNews& aNews)
 {
   peerMemory_->Tell(std::move(aNews.departure_), std::move(aNews.done_));
 }
 
-std::optional<std::string> ControlThread::OnQuarantineReport(const std::string& aBody)
-{
-  auto records = wire::DecodeQuarantineReport(aBody);
-  if (!records) {
-    return std::nullopt;
-  }
-  events_.Add(runtime::LogEvent::SuspectsReported,
-              std::to_string(records->size()) + " records from another owner");
-  onQuarantine_(*std::move(records));
-  return std::string();
-}
-
 void ControlThread::On(LeavingCommand& /*aCommand*/)
 {
   leaving_ = true;
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -238,7 +238,10 @@
     return DaemonError{ traffic.Error().message_ };
   }
   (*control)->OnQuarantine(
-    [&traffic](wire::QuarantineRecords aRecords) { (void)(*traffic)->Tell(std::move(aRecords)); });
+    [&traffic](wire::QuarantineRecords aRecords) { return (*traffic)->Tell(std::move(aRecords)); });
+  (*control)->SetReadQuarantine([&traffic](ControlThread::QuarantineReader aReader) {
+    return (*traffic)->Tell(QuarantineQuestion{ std::move(aReader) });
+  });
   (*traffic)->SetKeepDeparture(
     [&control](decisions::DepartureRecord aDeparture, std::function<void()> aDone) {
       // A full ring buffer leaves the departure unremembered, like peers that are away.
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -255,6 +255,8 @@
         (void)owner_.Report(*report);
       } else if (const auto* known = std::get_if<DeparturesKnown>(&message)) {
         owner_.RestoreDepartures(known->records_, known->settled_);
+      } else if (const auto* question = std::get_if<QuarantineQuestion>(&message)) {
+        question->reader_(owner_.QuarantineRecords());
       } else {
         owner_.MergeQuarantine(std::get<std::vector<decisions::QuarantineRecord>>(message));
       }
