Take irregular status reports for what they are

Cause: a report with another id and a later start took the place of a backend server at once, and what it displaced counted as departed for ever. A start that looked older than a departed one, since the clock was set back between the two, was late for ever.

Change: while the current backend server reported within the last interval, another id takes its place with a second report half an interval or more after its first one. What was displaced, and a start that looks older than a departed one, is held back for 10 s only, the time for which reports may be on their way; a start that left by its own word stays away for good.

--- a/packages/decisions/include/hemlockproxy/decisions/BackendRegistry.h
+++ b/packages/decisions/include/hemlockproxy/decisions/BackendRegistry.h
@@ -99,6 +99,13 @@
   }
 
 private:
+  enum class Finality : std::uint8_t
+  {
+    /// A later start, or another backend server, took its place; it may go on reporting.
+    Displaced,
+    /// It said so, and that was acknowledged.
+    Left,
+  };
   /// A start of a backend server that has left.
   struct Departed
   {
@@ -106,6 +113,14 @@
     /// Nothing when the daemon did not know the backend server that left.
     std::optional<model::WallTime> startedAt_;
     model::TimePoint at_;
+    Finality finality_ = Finality::Left;
+  };
+  /// Another backend server that reported while the current one was there.
+  struct Candidate
+  {
+    model::BackendId id_;
+    model::WallTime startedAt_;
+    model::TimePoint at_;
   };
 
   explicit BackendRegistry(BackendRegistryOptions aOptions)
@@ -118,7 +133,10 @@
   [[nodiscard]] bool HasDeparted(model::TimePoint aNow, const model::BackendReport& aReport) const;
   void RememberDeparture(model::TimePoint aNow,
                          const model::BackendId& aId,
-                         std::optional<model::WallTime> aStartedAt);
+                         std::optional<model::WallTime> aStartedAt,
+                         Finality aFinality);
+  /// Returns whether a report of another backend server takes the place of the current one.
+  [[nodiscard]] bool MayDisplace(model::TimePoint aNow, const model::BackendReport& aReport);
 
   BackendRegistryOptions options_;
   std::optional<model::BackendReport> current_;
@@ -128,6 +146,7 @@
   model::TimePoint known_{};
   model::TimePoint renewed_{};
   std::deque<Departed> departed_;
+  std::optional<Candidate> candidate_;
 };
 
 } // namespace hemlockproxy::decisions
--- a/packages/decisions/src/BackendRegistry.cpp
+++ b/packages/decisions/src/BackendRegistry.cpp
@@ -46,11 +46,14 @@
       return ReportUse::Late;
     }
   }
+  if (ordered && current_ && current_->id_ != aReport.id_ && !MayDisplace(aNow, aReport)) {
+    return ReportUse::Late;
+  }
   BackendReport next = aReport;
   if (ordered && sameStart) {
     next.draining_ = next.draining_ || current_->draining_;
   } else if (ordered && current_) {
-    RememberDeparture(aNow, current_->id_, current_->startedAt_);
+    RememberDeparture(aNow, current_->id_, current_->startedAt_, Finality::Displaced);
   }
   const bool wasConfirmed = confirmed_;
   if (!sameStart) {
@@ -73,10 +76,10 @@
 bool BackendRegistry::Leave(TimePoint aNow, const BackendId& aId)
 {
   if (!current_ || current_->id_ != aId) {
-    RememberDeparture(aNow, aId, std::nullopt);
+    RememberDeparture(aNow, aId, std::nullopt, Finality::Left);
     return false;
   }
-  RememberDeparture(aNow, aId, current_->startedAt_);
+  RememberDeparture(aNow, aId, current_->startedAt_, Finality::Left);
   current_.reset();
   return true;
 }
@@ -108,10 +111,26 @@
   return true;
 }
 
+bool BackendRegistry::MayDisplace(TimePoint aNow, const BackendReport& aReport)
+{
+  if (aNow - renewed_ >= options_.interval_) {
+    return true;
+  }
+  // The current one reported a moment ago: one report may be an irregular one, a second one at the
+  // pace of reports is of a backend server that is there.
+  const bool known =
+    candidate_ && candidate_->id_ == aReport.id_ && candidate_->startedAt_ == aReport.startedAt_;
+  if (!known) {
+    candidate_ = Candidate{ aReport.id_, aReport.startedAt_, aNow };
+    return false;
+  }
+  return aNow - candidate_->at_ >= options_.interval_ / 2;
+}
+
 bool BackendRegistry::Restore(TimePoint aNow, const std::vector<DepartureRecord>& aRecords)
 {
   for (const DepartureRecord& record : aRecords) {
-    RememberDeparture(aNow - record.age_, record.id_, record.startedAt_);
+    RememberDeparture(aNow - record.age_, record.id_, record.startedAt_, Finality::Left);
   }
   const bool dropped = current_ && HasDeparted(aNow, *current_);
   if (dropped) {
@@ -135,23 +154,30 @@
     if (aOne.id_ != aReport.id_) {
       return false;
     }
-    return aOne.startedAt_ ? aReport.startedAt_ <= *aOne.startedAt_
-                           : aNow < aOne.at_ + kLatestReport;
+    if (aOne.startedAt_ && aReport.startedAt_ > *aOne.startedAt_) {
+      return false;
+    }
+    // An earlier start has ended before, so that its reports are on their way no longer than this;
+    // what still comes is a start after the clock was set back.
+    const bool final = aOne.finality_ == Finality::Left && aReport.startedAt_ == aOne.startedAt_;
+    return final || aNow < aOne.at_ + kLatestReport;
   });
 }
 
 void BackendRegistry::RememberDeparture(TimePoint aNow,
                                         const BackendId& aId,
-                                        std::optional<model::WallTime> aStartedAt)
+                                        std::optional<model::WallTime> aStartedAt,
+                                        Finality aFinality)
 {
   const auto same = std::find_if(departed_.begin(), departed_.end(), [&](const Departed& aOne) {
     return aOne.id_ == aId && aOne.startedAt_ == aStartedAt;
   });
   if (same != departed_.end()) {
     same->at_ = std::max(same->at_, aNow);
+    same->finality_ = std::max(same->finality_, aFinality);
     return;
   }
-  departed_.push_back(Departed{ aId, aStartedAt, aNow });
+  departed_.push_back(Departed{ aId, aStartedAt, aNow, aFinality });
   if (departed_.size() > kMostDeparted) {
     departed_.pop_front();
   }
--- a/packages/decisions/tests/BackendRegistryTest.cpp
+++ b/packages/decisions/tests/BackendRegistryTest.cpp
@@ -164,6 +164,69 @@
   CHECK_TRUE(registry_.TakesWork());
 }
 
+/// Irregular reports; those of bitacora-1 come each second.
+TEST_GROUP(BackendRegistryIrregular)
+{
+  BackendRegistry registry_ = BackendRegistry::Create({}).Value();
+  ReportUse first_ = registry_.Report(At(0), Report(1));
+
+  /// Renews bitacora-1 each second until a time.
+  void Renew(int aFromMs, int aToMs)
+  {
+    for (int now = aFromMs; now <= aToMs; now += 1000) {
+      (void)registry_.Tick(At(now));
+      (void)registry_.Report(At(now), Report(static_cast<std::uint64_t>(now)));
+    }
+  }
+  [[nodiscard]] bool IsCurrent(const char* aId) const
+  {
+    return registry_.Current() && registry_.Current()->id_.Value() == aId;
+  }
+};
+
+// Guards against one irregular report, with another id and a later start, that takes the place of a
+// backend server that goes on reporting.
+TEST(BackendRegistryIrregular, OneReportOfAnotherIdDoesNotDisplaceAWorkingBackendServer)
+{
+  (void)registry_.Report(At(500), StartedAt(Report(1, "odd"), 9000));
+  CHECK_TRUE(IsCurrent("bitacora-1"));
+  Renew(1000, 2000);
+  CHECK_TRUE(IsCurrent("bitacora-1"));
+  CHECK_TRUE(registry_.TakesWork());
+}
+
+// Guards against a replacement that gets no work because its predecessor was there a moment ago.
+TEST(BackendRegistryIrregular, AReplacementTakesThePlaceWithItsSecondReport)
+{
+  (void)registry_.Report(At(500), StartedAt(Report(1, "bitacora-2"), 9000));
+  CHECK_TRUE(registry_.Report(At(1500), StartedAt(Report(2, "bitacora-2"), 9000)) ==
+             ReportUse::Changed);
+  CHECK_TRUE(IsCurrent("bitacora-2"));
+  CHECK_TRUE(registry_.TakesWork());
+}
+
+// Guards against a working backend server that stays away for ever after an irregular report came
+// while its own was a little late.
+TEST(BackendRegistryIrregular, ADisplacedBackendServerThatGoesOnReportingReturns)
+{
+  CHECK_TRUE(registry_.Report(At(1100), StartedAt(Report(1, "odd"), 9000)) == ReportUse::Changed);
+  Renew(2000, 12000);
+  CHECK_TRUE(IsCurrent("bitacora-1"));
+  CHECK_TRUE(registry_.TakesWork());
+}
+
+// Guards against a backend server that is never taken in because its clock was set back between two
+// starts, so that its reports look older than the start that left.
+TEST(BackendRegistryIrregular, AStartAfterAClockWasSetBackIsTakenIn)
+{
+  CHECK_TRUE(registry_.Leave(At(1000), Report(1).id_));
+  CHECK_TRUE(registry_.Report(At(2000), StartedAt(Report(1), 200)) == ReportUse::Late);
+  CHECK_TRUE(registry_.Report(At(11000), StartedAt(Report(10), 200)) == ReportUse::Changed);
+  CHECK_TRUE(registry_.TakesWork());
+  // The start that left stays away.
+  CHECK_TRUE(registry_.Report(At(11500), Report(20)) == ReportUse::Late);
+}
+
 /// A daemon that starts at 61 s, beside a backend server that started at 1 s.
 TEST_GROUP(BackendRegistryAfterARestart)
 {
