--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -3,6 +3,7 @@
 #include "impl/ProcessBounds.h"
 
 #include "impl/ControlCalls.h"
+#include "impl/PeerMemory.h"
 
 #include "hemlockproxy/daemon/OperatorConfigSource.h"
 #include "hemlockproxy/daemon/PublishedConfigSource.h"
@@ -22,6 +23,10 @@
 
 constexpr std::size_t kInboxMessages = 1024;
 constexpr std::chrono::milliseconds kTick{ 100 };
+/// An endpoint whose daemon finds no members within this time is published all the same.
+constexpr std::chrono::milliseconds kPublishWithin{ 2000 };
+/// Calls of peers end unanswered when the process stands still for longer.
+constexpr std::chrono::milliseconds kLongGap{ 2000 };
 
 /// With the profile fast, news of other domains and the return of a lost member take about a second
 /// rather than several.
@@ -170,6 +175,7 @@
 void ControlThread::Start()
 {
   platform_.Start();
+  lastTick_ = Now();
   thread_ = std::thread([this] { runtime::RunFiberLoop(io_, [this] { Main(); }); });
 }
 
@@ -187,6 +193,16 @@
   transport_->OnCall(impl::kFetchPath, [this](const std::string& aBody) { return OnFetch(aBody); });
   transport_->OnCall(impl::kQuarantinePath,
                      [this](const std::string& aBody) { return OnQuarantineReport(aBody); });
+  peerMemory_ = std::make_unique<impl::PeerMemory>(
+    *transport_,
+    IdOf(settings_),
+    settings_.domain_,
+    [this] { return membership_.Members(); },
+    [this](std::vector<decisions::DepartureRecord> aRecords, bool aSettled) {
+      return onDepartures_(std::move(aRecords), aSettled);
+    });
+  transport_->OnCall(impl::kDeparturesPath,
+                     [this](const std::string& aBody) { return peerMemory_->HandleCall(aBody); });
   if (claims_) {
     transport_->OnCall(kClaimsPath,
                        [this](const std::string& aBody) { return claims_->HandleCall(aBody); });
@@ -227,6 +243,13 @@
     claims_->Tick(Now());
   }
   ReadLogIfDue();
+  peerMemory_->Tick(Now());
+  if (Now() - lastTick_ > kLongGap) {
+    // What other owners found out while this process stood still was not delivered.
+    quarantineHeard_ = false;
+  }
+  lastTick_ = Now();
+  TickQuarantine();
   if (membership_.Live(settings_.domain_).size() <= 1) {
     memberStream_.Refresh();
   } else {
@@ -239,10 +262,29 @@
 
 void ControlThread::On(LocalEndpoint& aLocal)
 {
-  if (local_ == aLocal.endpoint_) {
+  const auto service = aLocal.endpoint_ ? aLocal.endpoint_->service_ : model::ServiceName();
+  if (service != quarantineService_) {
+    // Owners are told of suspects only while they have an endpoint of the service.
+    quarantineService_ = service;
+    quarantineHeard_ = published_ = false;
+    publishBy_ = Now() + kPublishWithin;
+  }
+  if (!aLocal.endpoint_ || published_ || quarantineHeard_) {
+    heldLocal_.reset();
+    Apply(std::move(aLocal.endpoint_));
     return;
   }
-  local_ = std::move(aLocal.endpoint_);
+  // Nobody sends work before the endpoint is known.
+  heldLocal_ = std::move(aLocal.endpoint_);
+  TickQuarantine();
+}
+
+void ControlThread::Apply(std::optional<model::Endpoint> aEndpoint)
+{
+  if (local_ == aEndpoint) {
+    return;
+  }
+  local_ = std::move(aEndpoint);
   dirty_ = true;
   Membership(decisions::LocalEndpointChanged{ local_ });
 }
@@ -278,33 +320,9 @@
   }
 }
 
-void ControlThread::On(QuarantineNews& aNews)
+void ControlThread::On(DepartureNews& aNews)
 {
-  if (!local_) {
-    return;
-  }
-  const std::string body = wire::EncodeQuarantineReport(aNews.records_);
-  for (const auto& member : membership_.Members()) {
-    const bool owner = member->state_ == model::MemberState::Alive && member->endpoint_ &&
-                       member->endpoint_->service_ == local_->service_;
-    if (owner && member->id_ != membership_.Self()->id_) {
-      runtime::SpawnFiber([this, to = member->control_, body] {
-        (void)transport_->Call(to, impl::kQuarantinePath, body, impl::kCallTimeout);
-      });
-    }
-  }
-}
-
-std::optional<std::string> ControlThread::OnQuarantineReport(const std::string& aBody)
-{
-  auto records = wire::DecodeQuarantineReport(aBody);
-  if (!records) {
-    return std::nullopt;
-  }
-  events_.Add(runtime::LogEvent::SuspectsReported,
-              std::to_string(records->size()) + " records from another owner");
-  onQuarantine_(*std::move(records));
-  return std::string();
+  peerMemory_->Tell(std::move(aNews.departure_), std::move(aNews.done_));
 }
 
 void ControlThread::On(LeavingCommand& /*aCommand*/)
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t kHeldPart = 10;
 /// Room for the fields that an entry adds to a request.
 constexpr std::uint32_t kForwardedFields = 8 * 1024;
+/// A daemon joins and hears of its former process within less where a peer can be reached.
+constexpr std::chrono::milliseconds kPeerWait{ 3000 };
 /// A thread that is this late takes a noticeable part of the callers' latency targets.
 constexpr std::chrono::milliseconds kLateDelay{ 100 };
 /// Well below kLateDelay, so that a thread that is about as late as that is reported once.
@@ -54,6 +56,7 @@
   options.exchange_.stallTimeout_ = aSettings.stallTimeout_;
   options.reportInterval_ = aSettings.announceInterval_;
   options.daemonStart_ = model::WallNow();
+  options.peerWait_ = kPeerWait;
   options.link_.bytesPerSecond_ = aSettings.linkBytesPerSecond_;
   options.mostHeldBytes_ = std::min(options.mostHeldBytes_, impl::MemoryOf(aSettings) / kHeldPart);
   options.dialect_ = aAdapters.dialect_;
@@ -267,6 +270,10 @@
     while (inbox_.Pop(message)) {
       if (const auto* report = std::get_if<model::BackendReport>(&message)) {
         (void)owner_.Report(*report);
+      } else if (const auto* known = std::get_if<DeparturesKnown>(&message)) {
+        owner_.RestoreDepartures(known->records_, known->settled_);
+      } else if (const auto* question = std::get_if<QuarantineQuestion>(&message)) {
+        question->reader_(owner_.QuarantineRecords());
       } else {
         owner_.MergeQuarantine(std::get<std::vector<decisions::QuarantineRecord>>(message));
       }
--- a/packages/decisions/include/hemlockproxy/decisions/Decisions.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Decisions.h
@@ -14,6 +14,7 @@
 #include "hemlockproxy/decisions/ConfigRules.h"
 #include "hemlockproxy/decisions/ConnectionBounds.h"
 #include "hemlockproxy/decisions/CustomerIndex.h"
+#include "hemlockproxy/decisions/DepartureBook.h"
 #include "hemlockproxy/decisions/Distribution.h"
 #include "hemlockproxy/decisions/DistributionMessages.h"
 #include "hemlockproxy/decisions/Drain.h"
--- a/packages/decisions/src/BackendRegistry.cpp
+++ b/packages/decisions/src/BackendRegistry.cpp
@@ -46,18 +46,21 @@
       return ReportUse::Late;
     }
   }
+  if (ordered && current_ && current_->id_ != aReport.id_ && !MayDisplace(aNow, aReport)) {
+    return ReportUse::Late;
+  }
   BackendReport next = aReport;
   if (ordered && sameStart) {
     next.draining_ = next.draining_ || current_->draining_;
   } else if (ordered && current_) {
-    RememberDeparture(aNow, current_->id_, current_->startedAt_);
+    RememberDeparture(aNow, current_->id_, current_->startedAt_, Finality::Displaced);
   }
   const bool wasConfirmed = confirmed_;
   if (!sameStart) {
     confirmed_ = !ordered || options_.daemonStart_ == model::WallTime() ||
                  next.startedAt_ + kStartMargin > options_.daemonStart_;
     known_ = aNow;
-  } else if (aNow - known_ >= options_.interval_ / 2) {
+  } else if (aNow - known_ >= options_.interval_ / 2 && PaceConfirms(aNow)) {
     // Reports that were held up arrive together; this one came at the pace of reports.
     confirmed_ = true;
   }
@@ -73,10 +76,10 @@
 bool BackendRegistry::Leave(TimePoint aNow, const BackendId& aId)
 {
   if (!current_ || current_->id_ != aId) {
-    RememberDeparture(aNow, aId, std::nullopt);
+    RememberDeparture(aNow, aId, std::nullopt, Finality::Left);
     return false;
   }
-  RememberDeparture(aNow, aId, current_->startedAt_);
+  RememberDeparture(aNow, aId, current_->startedAt_, Finality::Left);
   current_.reset();
   return true;
 }
@@ -108,22 +111,73 @@
   return true;
 }
 
+bool BackendRegistry::MayDisplace(TimePoint aNow, const BackendReport& aReport)
+{
+  if (aNow - renewed_ >= options_.interval_) {
+    return true;
+  }
+  // The current one reported a moment ago: one report may be an irregular one, a second one at the
+  // pace of reports is of a backend server that is there.
+  const bool known =
+    candidate_ && candidate_->id_ == aReport.id_ && candidate_->startedAt_ == aReport.startedAt_;
+  if (!known) {
+    candidate_ = Candidate{ aReport.id_, aReport.startedAt_, aNow };
+    return false;
+  }
+  return aNow - candidate_->at_ >= options_.interval_ / 2;
+}
+
+bool BackendRegistry::Restore(TimePoint aNow, const std::vector<DepartureRecord>& aRecords)
+{
+  for (const DepartureRecord& record : aRecords) {
+    RememberDeparture(aNow - record.age_, record.id_, record.startedAt_, Finality::Left);
+  }
+  const bool dropped = current_ && HasDeparted(aNow, *current_);
+  if (dropped) {
+    current_.reset();
+  }
+  return dropped;
+}
+
+bool BackendRegistry::PaceConfirms(TimePoint aNow) const noexcept
+{
+  // Reports that are equally late come at the pace of reports, too. What arrives this long after
+  // the start of the daemon was sent after it, and so after all departures that the daemon's former
+  // process has acknowledged.
+  return peersHeard_ || options_.daemonStart_ == model::WallTime() ||
+         aNow >= options_.start_ + kLatestReport;
+}
+
 bool BackendRegistry::HasDeparted(TimePoint aNow, const BackendReport& aReport) const
 {
   return std::any_of(departed_.begin(), departed_.end(), [&](const Departed& aOne) {
     if (aOne.id_ != aReport.id_) {
       return false;
     }
-    return aOne.startedAt_ ? aReport.startedAt_ <= *aOne.startedAt_
-                           : aNow < aOne.at_ + kLatestReport;
+    if (aOne.startedAt_ && aReport.startedAt_ > *aOne.startedAt_) {
+      return false;
+    }
+    // An earlier start has ended before, so that its reports are on their way no longer than this;
+    // what still comes is a start after the clock was set back.
+    const bool final = aOne.finality_ == Finality::Left && aReport.startedAt_ == aOne.startedAt_;
+    return final || aNow < aOne.at_ + kLatestReport;
   });
 }
 
 void BackendRegistry::RememberDeparture(TimePoint aNow,
                                         const BackendId& aId,
-                                        std::optional<model::WallTime> aStartedAt)
+                                        std::optional<model::WallTime> aStartedAt,
+                                        Finality aFinality)
 {
-  departed_.push_back(Departed{ aId, aStartedAt, aNow });
+  const auto same = std::find_if(departed_.begin(), departed_.end(), [&](const Departed& aOne) {
+    return aOne.id_ == aId && aOne.startedAt_ == aStartedAt;
+  });
+  if (same != departed_.end()) {
+    same->at_ = std::max(same->at_, aNow);
+    same->finality_ = std::max(same->finality_, aFinality);
+    return;
+  }
+  departed_.push_back(Departed{ aId, aStartedAt, aNow, aFinality });
   if (departed_.size() > kMostDeparted) {
     departed_.pop_front();
   }
