--- a/packages/daemon/tests/SilentBodyTest.cpp
+++ b/packages/daemon/tests/SilentBodyTest.cpp
@@ -36,7 +36,9 @@
   model::Duration took_{};
 };
 
-Outcome Ask(const model::Address& aAddress, std::size_t aUpload = 0)
+Outcome Ask(const model::Address& aAddress,
+            std::size_t aUpload = 0,
+            std::optional<milliseconds> aCallersTime = std::nullopt)
 {
   Outcome outcome;
   runtime::RunInLoop([&](const runtime::IoContextPtr& aIo) {
@@ -52,6 +54,9 @@
     }
     const auto started = std::chrono::steady_clock::now();
     request.deadline_ = started + kTimeout;
+    if (aCallersTime) {
+      request.bodyDeadline_ = started + *aCallersTime;
+    }
     outcome.reply_ = RunExchange(pool, aAddress, request, {});
     std::string part(runtime::kBodyPartBytes, '\0');
     while (outcome.reply_.body_) {
@@ -92,6 +97,20 @@
   RawServer server_;
 };
 
+constexpr std::size_t kParts = 20;
+constexpr milliseconds kPartTime{ 30 };
+
+/// A download that takes longer than the time-out and never pauses for long.
+void SlowDownload(RawServer::Socket& aSocket, int /*aIndex*/)
+{
+  (void)test::ReadRequest(aSocket, false);
+  test::Write(aSocket, "HTTP/1.1 200 OK\r\n\r\n");
+  for (std::size_t i = 0; i < kParts; ++i) {
+    std::this_thread::sleep_for(kPartTime);
+    test::Write(aSocket, "part");
+  }
+}
+
 } // namespace
 
 TEST_GROUP(SilentBody){};
@@ -153,16 +172,17 @@
 // Guards against a long download that is cut at the time-out although it makes progress.
 TEST(SilentBody, AResponseInProgressGoesOnAfterTheTimeout)
 {
-  constexpr int kParts = 20;
-  const RawServer server([](RawServer::Socket& aSocket, int) {
-    (void)test::ReadRequest(aSocket, false);
-    test::Write(aSocket, "HTTP/1.1 200 OK\r\n\r\n");
-    for (int i = 0; i < kParts; ++i) {
-      std::this_thread::sleep_for(milliseconds(30));
-      test::Write(aSocket, "part");
-    }
-  });
+  const RawServer server(SlowDownload);
   const Outcome outcome = Ask(server.Address());
   CHECK_TRUE(outcome.complete_);
   UNSIGNED_LONGS_EQUAL(4 * kParts, outcome.body_.size());
 }
+
+// Guards against work for a caller that no longer waits.
+TEST(SilentBody, AResponseInProgressEndsAtTheCallersDeadline)
+{
+  const RawServer server(SlowDownload);
+  const Outcome outcome = Ask(server.Address(), 0, kTimeout + kTimeout / 3);
+  CHECK_FALSE(outcome.complete_);
+  CHECK_TRUE(outcome.body_.size() < 4 * kParts);
+}
