Scale expected service times by the slowdown of the host

Cause: on some deployments Server-Load has a fourth figure, how long work takes on the host at present in percent. The adapter dropped it, so the owner learned of a slow host only from service times already seen.

The figure reaches the owner in BackendStatus. Admission divides observed service times by it and multiplies expected ones.

Not part of this: the entry, and the field on the health path.

Without the field the factor is 1.

--- a/packages/daemon/include/hemlockproxy/daemon/Dialect.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Dialect.h
@@ -54,14 +54,6 @@
   Foreign,
 };
 
-/// The work that a backend server reports of itself.
-struct ReportedLoad
-{
-  std::uint32_t running_ = 0;
-  std::uint32_t waiting_ = 0;
-  std::uint32_t slots_ = 0;
-};
-
 /// A response of a backend server as its header describes it.
 struct BackendResponse
 {
@@ -69,7 +61,6 @@
   /// The response carries the id of the request. A rejection that does not is only taken on a new
   /// connection, where it can belong to no earlier request.
   bool namesRequest_ = false;
-  std::optional<ReportedLoad> load_;
   /// How long the connection stays open without a request; nothing when the server does not say.
   std::optional<std::chrono::milliseconds> keepAlive_;
   BackendStatus status_;
--- a/packages/daemon/src/OwnerBackend.cpp
+++ b/packages/daemon/src/OwnerBackend.cpp
@@ -114,6 +114,12 @@
     BackendChanged(runtime::LogEvent::EndpointDraining);
   }
   const auto now = std::chrono::steady_clock::now();
+  if (aStatus.hasInvalidLoad_) {
+    metrics_.Add(runtime::Counter::BackendLoadsInvalid);
+  }
+  if (IsCurrent(aBackend) && admission_ && aStatus.load_ && aStatus.load_->slowdown_) {
+    admission_->ObserveSlowdown(now, *aStatus.load_->slowdown_);
+  }
   const bool limited = limit_.PerSecond().has_value();
   if (!IsCurrent(aBackend) || !limit_.Observe(aSent, now, aStatus.requestLimit_)) {
     return;
--- a/packages/decisions/include/hemlockproxy/decisions/Admission.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockproxy/decisions/HostSlowdown.h"
 #include "hemlockproxy/decisions/QueueOrder.h"
 #include "hemlockproxy/decisions/RequestId.h"
 #include "hemlockproxy/decisions/RunKind.h"
@@ -158,6 +159,12 @@
   /// in the queue.
   [[nodiscard]] std::vector<AdmissionAction> SetPace(model::TimePoint aNow,
                                                      std::optional<double> aPerSecond);
+  /// Takes in how long work takes on the backend server's host at present, as a multiple of the
+  /// usual time; expected service times are scaled by it.
+  void ObserveSlowdown(model::TimePoint aNow, double aFactor) noexcept
+  {
+    slowdown_.Observe(aNow, aFactor);
+  }
   /// Rejects the queue and all later requests as Leaving; running requests go on.
   [[nodiscard]] std::vector<AdmissionAction> StartDraining();
   /// Accepts requests again, when a backend server withdraws its draining announcement.
@@ -174,7 +181,8 @@
   /// Returns how many requests may run at once.
   [[nodiscard]] std::size_t Capacity() const noexcept { return capacity_; }
   [[nodiscard]] bool Draining() const noexcept { return draining_; }
-  /// Returns the mean of the service times seen, or 0 before the first.
+  /// Returns the mean of the service times seen, at the usual speed of the host, or 0 before the
+  /// first.
   [[nodiscard]] model::Duration MeanServiceTime() const noexcept { return serviceTime_.Mean(); }
   /// Returns the mean service time of the requests with a label, or 0 before the first.
   [[nodiscard]] model::Duration EstimateOf(const std::string& aLabel) const noexcept;
@@ -202,6 +210,8 @@
   {
     model::TimePoint since_;
     std::string label_;
+    /// The slowdown of the host when the request started.
+    double slowdown_ = 1;
   };
 
   [[nodiscard]] AdmissionVerdict ArriveAlone(model::TimePoint aNow, const QueuedRequest& aRequest);
@@ -225,6 +235,9 @@
                                                model::Duration aWait) const;
   [[nodiscard]] model::Duration WaitBehind(model::TimePoint aNow,
                                            std::size_t aAhead) const noexcept;
+  /// Returns what a service time at the usual speed is expected to be at present.
+  [[nodiscard]] model::Duration AtPresent(model::TimePoint aNow,
+                                          model::Duration aUsual) const noexcept;
   [[nodiscard]] model::Duration TimePerRequest(model::TimePoint aNow) const noexcept;
   [[nodiscard]] model::Duration NeededTime(model::TimePoint aNow,
                                            const std::string& aLabel) const noexcept;
@@ -262,6 +275,8 @@
   model::TimePoint aloneSince_{};
   model::TimePoint aloneUntil_{};
   std::optional<model::TimePoint> nextAlone_;
+  HostSlowdown slowdown_;
+  /// Service times at the usual speed of the host.
   ServiceTimeEstimate serviceTime_;
   /// By label; at most kMostLabels of Admission.cpp.
   std::unordered_map<std::string, ServiceTimeEstimate> byLabel_;
--- a/packages/decisions/src/Admission.cpp
+++ b/packages/decisions/src/Admission.cpp
@@ -124,7 +124,7 @@
   }
   if (runNow && TakeStart(aNow)) {
     ++lane.starts_;
-    running_.emplace(id, Run{ aNow, request.label_ });
+    running_.emplace(id, Run{ aNow, request.label_, slowdown_.Factor(aNow) });
     return RunRequest{ id };
   }
   lane.queue_.emplace(rank, request);
@@ -151,7 +151,7 @@
     alone_ = aRequest;
     return QueueRequest{ aRequest.id_, wait };
   }
-  running_.emplace(aRequest.id_, Run{ aNow, aRequest.label_ });
+  running_.emplace(aRequest.id_, Run{ aNow, aRequest.label_, slowdown_.Factor(aNow) });
   runningAlone_ = aRequest.id_;
   return RunRequest{ aRequest.id_ };
 }
@@ -261,11 +261,14 @@
   if (byLabel_.size() >= kMostLabels && !byLabel_.contains(aRun.label_)) {
     byLabel_.clear();
   }
+  // The slowdown may have changed during the request; the mean of both ends is near its mean.
+  const double slowdown = (aRun.slowdown_ + slowdown_.Factor(aNow)) / 2;
+  const auto usual = std::chrono::duration_cast<Duration>((aNow - aRun.since_) / slowdown);
   for (ServiceTimeEstimate* estimate : { &serviceTime_, &byLabel_[aRun.label_] }) {
     if (aKind == FinishKind::Completed) {
-      estimate->Observe(aNow - aRun.since_);
+      estimate->Observe(usual);
     } else {
-      estimate->ObserveAtLeast(aNow - aRun.since_);
+      estimate->ObserveAtLeast(usual);
     }
     estimate->ObservedAt(aNow);
   }
@@ -287,7 +290,8 @@
   const Duration late = share(aRequest.deadline_ - aRequest.target_, lateShare_);
   const auto label = byLabel_.find(aRequest.label_);
   const Duration service =
-    label == byLabel_.end() ? Duration{} : label->second.FreshMeanPlus(aNow, targetDeviations_);
+    label == byLabel_.end() ? Duration{}
+                            : AtPresent(aNow, label->second.FreshMeanPlus(aNow, targetDeviations_));
   const Duration left = aRequest.target_ - aNow;
   const Duration mostWait = std::max(left + late - service, share(left, leastWaitShare_));
   return aWait < mostWait ? RefusalReason::None : RefusalReason::QueueFull;
@@ -335,10 +339,16 @@
   return alone + std::max(slots, PaceWait(aNow, aAhead));
 }
 
+Duration Admission::AtPresent(TimePoint aNow, Duration aUsual) const noexcept
+{
+  return std::chrono::duration_cast<Duration>(aUsual * slowdown_.Factor(aNow));
+}
+
 Duration Admission::TimePerRequest(TimePoint aNow) const noexcept
 {
+  const Duration mean = AtPresent(aNow, serviceTime_.Mean());
   if (running_.empty()) {
-    return serviceTime_.Mean();
+    return mean;
   }
   // Requests that have already run for longer than the mean say that the server has become slower,
   // before the first of them ends.
@@ -346,7 +356,7 @@
   for (const auto& [id, run] : running_) {
     elapsed += aNow - run.since_;
   }
-  return std::max(serviceTime_.Mean(), elapsed / static_cast<Duration::rep>(running_.size()));
+  return std::max(mean, elapsed / static_cast<Duration::rep>(running_.size()));
 }
 
 Duration Admission::NeededTime(TimePoint aNow, const std::string& aLabel) const noexcept
@@ -357,7 +367,7 @@
   if (running_.empty() || label == byLabel_.end()) {
     return {};
   }
-  return label->second.FreshMeanPlus(aNow, needDeviations_);
+  return AtPresent(aNow, label->second.FreshMeanPlus(aNow, needDeviations_));
 }
 
 bool Admission::MeetsDeadline(TimePoint aNow, Duration aWait, const QueuedRequest& aRequest) const
@@ -401,7 +411,7 @@
   if (!alone_ || !running_.empty() || !TakeStart(aNow)) {
     return;
   }
-  running_.emplace(alone_->id_, Run{ aNow, alone_->label_ });
+  running_.emplace(alone_->id_, Run{ aNow, alone_->label_, slowdown_.Factor(aNow) });
   runningAlone_ = alone_->id_;
   aActions.emplace_back(RunRequest{ alone_->id_ });
   alone_.reset();
@@ -448,7 +458,7 @@
     const bool front = order_->NextEnd(aNow, frontWait) == QueueEnd::Front;
     const auto next = front ? queue.begin() : std::prev(queue.end());
     const RequestId id = next->second.id_;
-    running_.emplace(id, Run{ aNow, next->second.label_ });
+    running_.emplace(id, Run{ aNow, next->second.label_, slowdown_.Factor(aNow) });
     queuedRank_.erase(id);
     queue.erase(next);
     aActions.emplace_back(RunRequest{ id });
--- a/packages/runtime/include/hemlockproxy/runtime/Metrics.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Metrics.h
@@ -39,6 +39,8 @@
   /// Requests and messages whose handling ended with an unexpected exception.
   HandlersFailed,
   VersionsEnforced,
+  /// Load reports of the own backend server with an invalid figure.
+  BackendLoadsInvalid,
   Count,
 };
 
--- a/packages/runtime/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -41,6 +41,8 @@
   { "log_records_skipped_total", "Records of the log that could not be read." },
   { "handlers_failed_total", "Requests and messages that ended with an unexpected exception." },
   { "versions_enforced_total", "Configuration versions enforced." },
+  { "backend_loads_invalid_total",
+    "Load reports of the own backend server with an invalid figure, which was ignored." },
 } };
 
 constexpr std::array<MetricInfo, static_cast<std::size_t>(Gauge::Count)> kGauges = { {
