Give up requests that hang at the backend server

Cause: a full backend server may drop a request and never answer it nor any later one on its connection. The owner waited until the deadline, so that no time was left for another endpoint, and the slot stayed taken.

A request without a response after that many times the mean service time of its kind, or as many mean deviations above it, at least 150 ms, is given up as unknown; its connection is closed and not reused. 20 requests of the kind must have been seen. Streamed uploads are not judged. Counter requests_hung_total.

Not part of this: slots of cancelled requests and of a former process, health checks, and hung requests that lower the concurrency limit.

--- a/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
@@ -39,6 +39,9 @@
   model::WallTime daemonStart_{};
   DialectPtr dialect_;
   decisions::TransferQueueOptions link_;
+  /// A request is given up after this many times the mean service time of its kind; 0 waits until
+  /// its deadline.
+  double hangFactor_ = 0;
   /// Null writes no lines.
   runtime::StructuredLog* lines_ = nullptr;
 };
@@ -136,6 +139,9 @@
   [[nodiscard]] bool IsCurrent(const model::BackendReport& aBackend) const;
   /// Counts and logs a request whose caller has left.
   void NoteCallerLeft(std::string_view aId, impl::LeftStage aStage, model::TimePoint aStarted);
+  /// Runs the exchange of a request; gives up a request that hangs.
+  [[nodiscard]] UpstreamReply ExchangeWith(const model::BackendReport& aBackend,
+                                           UpstreamRequest& aRequest);
   void StartTicker();
   [[nodiscard]] UpstreamReply Run(UpstreamRequest& aRequest);
   [[nodiscard]] UpstreamReply RunAdmitted(decisions::RequestId aId,
--- a/packages/daemon/include/hemlockproxy/daemon/Settings.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Settings.h
@@ -81,6 +81,9 @@
   /// The rate of the instance's link in bytes/s, written as link_mbps; 0 means that it is not
   /// known.
   std::uint64_t linkBytesPerSecond_ = 0;
+  /// A request that the backend server has not answered after this many times the mean service time
+  /// of its kind is given up; 0 waits until the deadline.
+  double hangFactor_ = 0;
   std::string logLevel_ = "info";
 
   friend bool operator==(const Settings&, const Settings&) = default;
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -338,6 +338,28 @@
   });
 }
 
+UpstreamReply OwnerService::ExchangeWith(const model::BackendReport& aBackend,
+                                         UpstreamRequest& aRequest)
+{
+  const auto started = std::chrono::steady_clock::now();
+  // An upload takes as long as its caller sends, which says nothing of the backend server.
+  const auto hangTime =
+    options_.hangFactor_ > 0 && aRequest.rest_ == nullptr
+      ? admission_->HangTime(started, aRequest.work_.label_, options_.hangFactor_)
+      : std::nullopt;
+  if (!hangTime || started + *hangTime >= aRequest.deadline_) {
+    return RunExchange(pool_, aBackend.address_, aRequest, options_.exchange_);
+  }
+  const auto deadline = std::exchange(aRequest.deadline_, started + *hangTime);
+  // A connection whose exchange ends without a response is closed.
+  UpstreamReply reply = RunExchange(pool_, aBackend.address_, aRequest, options_.exchange_);
+  aRequest.deadline_ = deadline;
+  if (reply.reason_ == RefusalReason::UpstreamTimeout) {
+    metrics_.Add(runtime::Counter::RequestsHung);
+  }
+  return reply;
+}
+
 UpstreamReply OwnerService::RunAdmitted(RequestId aId,
                                         const model::BackendReport& aBackend,
                                         UpstreamRequest& aRequest)
@@ -347,7 +369,7 @@
   options_.dialect_->WriteBackendRequest(
     aRequest.header_,
     { TimeLeft(aRequest.deadline_), aBackend.id_, aRequest.callerService_, aRequest.customer_ });
-  UpstreamReply reply = RunExchange(pool_, aBackend.address_, aRequest, options_.exchange_);
+  UpstreamReply reply = ExchangeWith(aBackend, aRequest);
   if (reply.status_) {
     NoteStatus(aBackend, *reply.status_, started);
   }
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -52,7 +52,7 @@
     std::chrono::milliseconds most_;
   };
 
-  static const std::array<Key, 29> kKeys;
+  static const std::array<Key, 30> kKeys;
 
   void Add(const YAML::Mark& aMark, std::string aMessage)
   {
@@ -127,6 +127,7 @@
   void SetRetryExtra(const YAML::Node& aValue);
   void SetTrafficSpin(const YAML::Node& aValue);
   void SetLinkRate(const YAML::Node& aValue);
+  void SetHangFactor(const YAML::Node& aValue);
   void SetSeeds(const YAML::Node& aValue);
   void SetProfile(const YAML::Node& aValue);
   void SetLogLevel(const YAML::Node& aValue);
@@ -141,7 +142,7 @@
   SettingsErrors errors_;
 };
 
-const std::array<SettingsParser::Key, 29> SettingsParser::kKeys = { {
+const std::array<SettingsParser::Key, 30> SettingsParser::kKeys = { {
   { "name", Need::Required, &SettingsParser::SetName },
   { "region", Need::Required, &SettingsParser::SetRegion },
   { "failure_domain", Need::Required, &SettingsParser::SetDomain },
@@ -171,6 +172,7 @@
   { "retry_extra", Need::Optional, &SettingsParser::SetRetryExtra },
   { "traffic_spin", Need::Optional, &SettingsParser::SetTrafficSpin },
   { "link_mbps", Need::Optional, &SettingsParser::SetLinkRate },
+  { "hang_factor", Need::Optional, &SettingsParser::SetHangFactor },
 } };
 
 void SettingsParser::SetDuration(const YAML::Node& aValue, const DurationKey& aKey)
@@ -271,6 +273,20 @@
   settings_.linkBytesPerSecond_ = static_cast<std::uint64_t>(megabits * kBytesPerMegabit);
 }
 
+void SettingsParser::SetHangFactor(const YAML::Node& aValue)
+{
+  // A smaller factor gives up requests that are only slow.
+  constexpr double kLeast = 2;
+  constexpr double kMost = 1000;
+  double factor = 0;
+  if (!YAML::convert<double>::decode(aValue, factor) ||
+      (factor != 0 && !(factor >= kLeast && factor <= kMost))) {
+    Add(aValue.Mark(), "found '" + Text(aValue) + "'; expected 0 or a number from 2 to 1000");
+    return;
+  }
+  settings_.hangFactor_ = factor;
+}
+
 void SettingsParser::SetInterface(const YAML::Node& aValue)
 {
   const std::string text = Text(aValue);
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -50,6 +50,7 @@
   options.reportInterval_ = aSettings.announceInterval_;
   options.daemonStart_ = model::WallNow();
   options.link_.bytesPerSecond_ = aSettings.linkBytesPerSecond_;
+  options.hangFactor_ = aSettings.hangFactor_;
   options.dialect_ = aAdapters.dialect_;
   options.lines_ = &aLines;
   return options;
--- a/packages/decisions/include/hemlockproxy/decisions/Admission.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Admission.h
@@ -186,6 +186,12 @@
   [[nodiscard]] model::Duration MeanServiceTime() const noexcept { return serviceTime_.Mean(); }
   /// Returns the mean service time of the requests with a label, or 0 before the first.
   [[nodiscard]] model::Duration EstimateOf(const std::string& aLabel) const noexcept;
+  /// Returns after how long a running request with a label is taken for one that the backend server
+  /// never answers: aFactor times the mean of its kind, and as many mean deviations above it if
+  /// that is longer. Returns nothing while too few of its kind have been seen.
+  [[nodiscard]] std::optional<model::Duration> HangTime(model::TimePoint aNow,
+                                                        const std::string& aLabel,
+                                                        double aFactor) const;
   /// Returns for how long a request with this priority would wait for a slot.
   [[nodiscard]] model::Duration ExpectedWait(model::TimePoint aNow,
                                              std::uint32_t aPriority) const noexcept;
--- a/packages/decisions/include/hemlockproxy/decisions/ServiceTimeEstimate.h
+++ b/packages/decisions/include/hemlockproxy/decisions/ServiceTimeEstimate.h
@@ -2,6 +2,7 @@
 
 #include "hemlockproxy/model/Clock.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace hemlockproxy::decisions {
@@ -23,12 +24,15 @@
   /// everything of its kind gets no new observations, and must not do so for ever.
   [[nodiscard]] model::Duration FreshMeanPlus(model::TimePoint aNow,
                                               double aDeviations) const noexcept;
+  /// Returns how many observations were made.
+  [[nodiscard]] std::uint64_t Observations() const noexcept { return observations_; }
   /// Notes when an observation was made, for FreshMeanPlus.
   void ObservedAt(model::TimePoint aNow) noexcept { observedAt_ = aNow; }
 
 private:
   std::optional<double> meanNs_;
   double deviationNs_ = 0;
+  std::uint64_t observations_ = 0;
   std::optional<model::TimePoint> observedAt_;
 };
 
--- a/packages/decisions/src/Admission.cpp
+++ b/packages/decisions/src/Admission.cpp
@@ -39,6 +39,10 @@
 // A deployment has a few kinds of requests for each service.
 constexpr std::size_t kMostLabels = 256;
 constexpr std::chrono::milliseconds kMinimumAloneWait{ 100 };
+// Before that the mean and deviation of a kind say little of its longest requests.
+constexpr std::uint64_t kLeastHangObservations = 20;
+// A pause of the process or of the network is no hang.
+constexpr std::chrono::milliseconds kLeastHangTime{ 150 };
 
 } // namespace
 
@@ -303,6 +307,20 @@
   return label == byLabel_.end() ? Duration{} : label->second.Mean();
 }
 
+std::optional<Duration> Admission::HangTime(TimePoint aNow,
+                                            const std::string& aLabel,
+                                            double aFactor) const
+{
+  const auto label = byLabel_.find(aLabel);
+  if (label == byLabel_.end() || label->second.Observations() < kLeastHangObservations) {
+    return std::nullopt;
+  }
+  const ServiceTimeEstimate& estimate = label->second;
+  const auto byMean = std::chrono::duration_cast<Duration>(estimate.Mean() * aFactor);
+  const Duration usual = std::max(byMean, estimate.MeanPlus(aFactor));
+  return std::max<Duration>(kLeastHangTime, AtPresent(aNow, usual));
+}
+
 Duration Admission::ExpectedWait(TimePoint aNow, std::uint32_t aPriority) const noexcept
 {
   if (running_.size() < capacity_ && Queued() == 0 && !runningAlone_) {
--- a/packages/decisions/src/ServiceTimeEstimate.cpp
+++ b/packages/decisions/src/ServiceTimeEstimate.cpp
@@ -30,6 +30,7 @@
 
 void ServiceTimeEstimate::Observe(model::Duration aServiceTime) noexcept
 {
+  ++observations_;
   const double ns = ToNanoseconds(aServiceTime);
   if (!meanNs_) {
     meanNs_ = ns;
--- a/packages/runtime/include/hemlockproxy/runtime/Metrics.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Metrics.h
@@ -41,6 +41,8 @@
   VersionsEnforced,
   /// Load reports of the own backend server with an invalid figure.
   BackendLoadsInvalid,
+  /// Requests that the backend server did not answer far beyond the time of their kind.
+  RequestsHung,
   Count,
 };
 
--- a/packages/runtime/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -43,6 +43,8 @@
   { "versions_enforced_total", "Configuration versions enforced." },
   { "backend_loads_invalid_total",
     "Load reports of the own backend server with an invalid figure, which was ignored." },
+  { "requests_hung_total",
+    "Requests given up because the backend server took far longer than for others of their kind." },
 } };
 
 constexpr std::array<MetricInfo, static_cast<std::size_t>(Gauge::Count)> kGauges = { {
