policy model: calls made by running requests

Cause: deployment 1 serves 880 requests per second at an offered load of 3,000 to 4,200, and runs fail because their calls are rejected or late. The policy model knew no calls.

A parent holds its slot while its call runs and fails with it.

--- a/packages/testing/src/main/hemlock-policy-bench.cpp
+++ b/packages/testing/src/main/hemlock-policy-bench.cpp
@@ -16,7 +16,7 @@
 
 Options:
   --seed=NUMBER  Seed of load and choices [default: 20261204].
-  --part=NAME    overload, choice, poison or all [default: all].
+  --part=NAME    overload, choice, poison, calls or all [default: all].
 )";
 
 } // namespace
@@ -32,7 +32,8 @@
   }
   const std::string part = arguments.at("--part").asString();
   if (!hemlockproxy::testing::RunPolicyBench({ std::stoull(seed), part }, std::cout)) {
-    std::cerr << "part: found \"" << part << "\", expected overload, choice, poison or all\n";
+    std::cerr << "part: found \"" << part
+              << "\", expected overload, choice, poison, calls or all\n";
     return 2;
   }
   return 0;
--- a/packages/testing/src/policy/Parts.h
+++ b/packages/testing/src/policy/Parts.h
@@ -19,5 +19,7 @@
 void RunOverload(std::uint64_t aSeed, std::ostream& aOutput);
 void RunChoice(std::uint64_t aSeed, std::ostream& aOutput);
 void RunPoison(std::uint64_t aSeed, std::ostream& aOutput);
+/// Requests that make calls while they run, from the usual load to far beyond the capacity.
+void RunCalls(std::uint64_t aSeed, std::ostream& aOutput);
 
 } // namespace hemlockproxy::testing::policy
--- a/packages/testing/src/policy/PolicyBench.cpp
+++ b/packages/testing/src/policy/PolicyBench.cpp
@@ -26,7 +26,7 @@
 {
   const bool all = aOptions.part_ == "all";
   if (!all && aOptions.part_ != "overload" && aOptions.part_ != "choice" &&
-      aOptions.part_ != "poison") {
+      aOptions.part_ != "poison" && aOptions.part_ != "calls") {
     return false;
   }
   if (all || aOptions.part_ == "overload") {
@@ -38,6 +38,9 @@
   if (all || aOptions.part_ == "poison") {
     policy::RunPoison(aOptions.seed_, aOutput);
   }
+  if (all || aOptions.part_ == "calls") {
+    policy::RunCalls(aOptions.seed_, aOutput);
+  }
   return true;
 }
 
