--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -52,7 +52,7 @@
     std::chrono::milliseconds most_;
   };
 
-  static const std::array<Key, 33> kKeys;
+  static const std::array<Key, 34> kKeys;
 
   void Add(const YAML::Mark& aMark, std::string aMessage)
   {
@@ -136,6 +136,7 @@
   }
   void SetMegabytes(const YAML::Node& aValue, std::uint64_t Settings::*aMember);
   void SetNumber(const YAML::Node& aValue, std::uint64_t Settings::*aMember);
+  void SetHangFactor(const YAML::Node& aValue);
   void SetSeeds(const YAML::Node& aValue);
   void SetProfile(const YAML::Node& aValue);
   void SetLogLevel(const YAML::Node& aValue);
@@ -150,7 +151,7 @@
   SettingsErrors errors_;
 };
 
-const std::array<SettingsParser::Key, 33> SettingsParser::kKeys = { {
+const std::array<SettingsParser::Key, 34> SettingsParser::kKeys = { {
   { "name", Need::Required, &SettingsParser::SetName },
   { "region", Need::Required, &SettingsParser::SetRegion },
   { "failure_domain", Need::Required, &SettingsParser::SetDomain },
@@ -184,6 +185,7 @@
   { "descriptors", Need::Optional, &SettingsParser::SetDescriptors },
   { "connections", Need::Optional, &SettingsParser::SetConnections },
   { "connection_memory_mb", Need::Optional, &SettingsParser::SetConnectionMemory },
+  { "hang_factor", Need::Optional, &SettingsParser::SetHangFactor },
 } };
 
 void SettingsParser::SetDuration(const YAML::Node& aValue, const DurationKey& aKey)
@@ -309,6 +311,20 @@
   settings_.*aMember = static_cast<std::uint64_t>(number);
 }
 
+void SettingsParser::SetHangFactor(const YAML::Node& aValue)
+{
+  // A smaller factor gives up requests that are only slow.
+  constexpr double kLeast = 2;
+  constexpr double kMost = 1000;
+  double factor = 0;
+  if (!YAML::convert<double>::decode(aValue, factor) ||
+      (factor != 0 && !(factor >= kLeast && factor <= kMost))) {
+    Add(aValue.Mark(), "found '" + Text(aValue) + "'; expected 0 or a number from 2 to 1000");
+    return;
+  }
+  settings_.hangFactor_ = factor;
+}
+
 void SettingsParser::SetInterface(const YAML::Node& aValue)
 {
   const std::string text = Text(aValue);
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -59,6 +59,7 @@
   options.peerWait_ = kPeerWait;
   options.link_.bytesPerSecond_ = aSettings.linkBytesPerSecond_;
   options.mostHeldBytes_ = std::min(options.mostHeldBytes_, impl::MemoryOf(aSettings) / kHeldPart);
+  options.hangFactor_ = aSettings.hangFactor_;
   options.dialect_ = aAdapters.dialect_;
   options.lines_ = &aLines;
   return options;
--- a/packages/runtime/include/hemlockproxy/runtime/Metrics.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Metrics.h
@@ -39,6 +39,10 @@
   /// Requests and messages whose handling ended with an unexpected exception.
   HandlersFailed,
   VersionsEnforced,
+  /// Load reports of the own backend server with an invalid figure.
+  BackendLoadsInvalid,
+  /// Requests that the backend server did not answer far beyond the time of their kind.
+  RequestsHung,
   Count,
 };
 
