--- a/packages/runtime/src/HttpClient.cpp
+++ b/packages/runtime/src/HttpClient.cpp
@@ -37,8 +37,10 @@
   int error = 0;
   socklen_t size = sizeof error;
   int unacknowledged = 0;
-  return ::getsockopt(aSocket, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0 &&
-         ::ioctl(aSocket, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+  // Where the system does not count unacknowledged bytes, the error alone tells.
+  const bool acknowledged = ::ioctl(aSocket, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0;
+  return acknowledged && ::getsockopt(aSocket, SOL_SOCKET, SO_ERROR, &error, &size) == 0 &&
+         error == 0;
 }
 
 bool MethodCarriesBody(http::verb aMethod) noexcept
