--- a/packages/daemon/src/PeerMemory.cpp
+++ b/packages/daemon/src/PeerMemory.cpp
@@ -63,8 +63,8 @@
 
 void PeerMemory::CallAll(const std::vector<model::Address>& aPeers,
                          const DepartureReport& aReport,
-                         std::function<void(const DepartureReport&)> aOnAnswer,
-                         std::function<void(std::size_t)> aOnEnd)
+                         const std::function<void(const DepartureReport&)>& aOnAnswer,
+                         const std::function<void(std::size_t)>& aOnEnd)
 {
   if (aPeers.empty()) {
     aOnEnd(0);
--- a/packages/daemon/src/impl/PeerMemory.h
+++ b/packages/daemon/src/impl/PeerMemory.h
@@ -48,8 +48,8 @@
   [[nodiscard]] std::vector<model::Address> Holders(std::size_t aOwn, std::size_t aOther) const;
   void CallAll(const std::vector<model::Address>& aPeers,
                const decisions::DepartureReport& aReport,
-               std::function<void(const decisions::DepartureReport&)> aOnAnswer,
-               std::function<void(std::size_t aAnswered)> aOnEnd);
+               const std::function<void(const decisions::DepartureReport&)>& aOnAnswer,
+               const std::function<void(std::size_t aAnswered)>& aOnEnd);
 
   ControlTransport& transport_;
   model::DaemonId self_;
