Lend shares of customers' allowances between daemons

Cause: a customer's allowance holds over all daemons together. Equal shares waste it, and a count kept by each daemon alone does not hold the bound. Change: decisions::Allowances admits at one daemon. Each daemon makes its equal share over to the lender of its failure domain (decisions::AllowanceLender), which makes half of its pool over to a root lender; both lend by demand, as a part of the allowance or as whole requests. Pledges and loans expire by the clock of the process that wrote the echoed stamp, and a pledge names the process that may lend it (epoch), so that two lenders divide different parts.

--- a/packages/decisions/include/hemlockproxy/decisions/Decisions.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Decisions.h
@@ -4,6 +4,11 @@
 /// logging.
 
 #include "hemlockproxy/decisions/Admission.h"
+#include "hemlockproxy/decisions/AllowanceAccount.h"
+#include "hemlockproxy/decisions/AllowanceBorrower.h"
+#include "hemlockproxy/decisions/AllowanceLender.h"
+#include "hemlockproxy/decisions/AllowanceMessages.h"
+#include "hemlockproxy/decisions/Allowances.h"
 #include "hemlockproxy/decisions/AttemptResult.h"
 #include "hemlockproxy/decisions/AttemptTimeout.h"
 #include "hemlockproxy/decisions/BackendRegistry.h"
