Carry asks and grants of allowances in datagrams

Cause: daemons need messages to lend shares of allowances. Change: two bodies of control datagrams, allowance_ask and allowance_grant, split over datagrams of at most 1200 bytes. Shares outside 0 to 1 and negative numbers are rejected by the reader.

--- a/packages/wire/gen/membership_types.cpp
+++ b/packages/wire/gen/membership_types.cpp
@@ -2660,6 +2660,16 @@
   this->log_report = val;
 __isset.log_report = true;
 }
+
+void BodyT::__set_allowance_ask(const  ::hemlockproxy::wire::gen::AllowanceAskT& val) {
+  this->allowance_ask = val;
+__isset.allowance_ask = true;
+}
+
+void BodyT::__set_allowance_grant(const  ::hemlockproxy::wire::gen::AllowanceGrantT& val) {
+  this->allowance_grant = val;
+__isset.allowance_grant = true;
+}
 std::ostream& operator<<(std::ostream& out, const BodyT& obj)
 {
   obj.printTo(out);
@@ -2768,6 +2778,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->allowance_ask.read(iprot);
+          this->__isset.allowance_ask = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->allowance_grant.read(iprot);
+          this->__isset.allowance_grant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2835,6 +2861,16 @@
     xfer += this->log_report.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.allowance_ask) {
+    xfer += oprot->writeFieldBegin("allowance_ask", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->allowance_ask.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.allowance_grant) {
+    xfer += oprot->writeFieldBegin("allowance_grant", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->allowance_grant.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2852,6 +2888,8 @@
   swap(a.notice, b.notice);
   swap(a.notice_ack, b.notice_ack);
   swap(a.log_report, b.log_report);
+  swap(a.allowance_ask, b.allowance_ask);
+  swap(a.allowance_grant, b.allowance_grant);
   swap(a.__isset, b.__isset);
 }
 
@@ -2866,6 +2904,8 @@
   notice = other104.notice;
   notice_ack = other104.notice_ack;
   log_report = other104.log_report;
+  allowance_ask = other104.allowance_ask;
+  allowance_grant = other104.allowance_grant;
   __isset = other104.__isset;
 }
 BodyT::BodyT(BodyT&& other105) noexcept {
@@ -2879,6 +2919,8 @@
   notice = std::move(other105.notice);
   notice_ack = std::move(other105.notice_ack);
   log_report = std::move(other105.log_report);
+  allowance_ask = std::move(other105.allowance_ask);
+  allowance_grant = std::move(other105.allowance_grant);
   __isset = other105.__isset;
 }
 BodyT& BodyT::operator=(const BodyT& other106) {
@@ -2892,6 +2934,8 @@
   notice = other106.notice;
   notice_ack = other106.notice_ack;
   log_report = other106.log_report;
+  allowance_ask = other106.allowance_ask;
+  allowance_grant = other106.allowance_grant;
   __isset = other106.__isset;
   return *this;
 }
@@ -2906,6 +2950,8 @@
   notice = std::move(other107.notice);
   notice_ack = std::move(other107.notice_ack);
   log_report = std::move(other107.log_report);
+  allowance_ask = std::move(other107.allowance_ask);
+  allowance_grant = std::move(other107.allowance_grant);
   __isset = other107.__isset;
   return *this;
 }
@@ -2922,6 +2968,8 @@
   out << ", " << "notice="; (__isset.notice ? (out << to_string(notice)) : (out << "<null>"));
   out << ", " << "notice_ack="; (__isset.notice_ack ? (out << to_string(notice_ack)) : (out << "<null>"));
   out << ", " << "log_report="; (__isset.log_report ? (out << to_string(log_report)) : (out << "<null>"));
+  out << ", " << "allowance_ask="; (__isset.allowance_ask ? (out << to_string(allowance_ask)) : (out << "<null>"));
+  out << ", " << "allowance_grant="; (__isset.allowance_grant ? (out << to_string(allowance_grant)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/membership_types.h
+++ b/packages/wire/gen/membership_types.h
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <memory>
+#include "allowances_types.h"
 
 
 namespace hemlockproxy { namespace wire { namespace gen {
@@ -1084,7 +1085,7 @@
 std::ostream& operator<<(std::ostream& out, const LogReportT& obj);
 
 typedef struct _BodyT__isset {
-  _BodyT__isset() : ping(false), ack(false), ping_request(false), digest_offer(false), digest_reply(false), bucket_entries(false), record_delta(false), notice(false), notice_ack(false), log_report(false) {}
+  _BodyT__isset() : ping(false), ack(false), ping_request(false), digest_offer(false), digest_reply(false), bucket_entries(false), record_delta(false), notice(false), notice_ack(false), log_report(false), allowance_ask(false), allowance_grant(false) {}
   bool ping :1;
   bool ack :1;
   bool ping_request :1;
@@ -1095,6 +1096,8 @@
   bool notice :1;
   bool notice_ack :1;
   bool log_report :1;
+  bool allowance_ask :1;
+  bool allowance_grant :1;
 } _BodyT__isset;
 
 class BodyT : public virtual ::apache::thrift::TBase {
@@ -1118,6 +1121,8 @@
   NoticeT notice;
   NoticeAckT notice_ack;
   LogReportT log_report;
+   ::hemlockproxy::wire::gen::AllowanceAskT allowance_ask;
+   ::hemlockproxy::wire::gen::AllowanceGrantT allowance_grant;
 
   _BodyT__isset __isset;
 
@@ -1141,6 +1146,10 @@
 
   void __set_log_report(const LogReportT& val);
 
+  void __set_allowance_ask(const  ::hemlockproxy::wire::gen::AllowanceAskT& val);
+
+  void __set_allowance_grant(const  ::hemlockproxy::wire::gen::AllowanceGrantT& val);
+
   bool operator == (const BodyT & rhs) const
   {
     if (__isset.ping != rhs.__isset.ping)
@@ -1183,6 +1192,14 @@
       return false;
     else if (__isset.log_report && !(log_report == rhs.log_report))
       return false;
+    if (__isset.allowance_ask != rhs.__isset.allowance_ask)
+      return false;
+    else if (__isset.allowance_ask && !(allowance_ask == rhs.allowance_ask))
+      return false;
+    if (__isset.allowance_grant != rhs.__isset.allowance_grant)
+      return false;
+    else if (__isset.allowance_grant && !(allowance_grant == rhs.allowance_grant))
+      return false;
     return true;
   }
   bool operator != (const BodyT &rhs) const {
--- a/packages/wire/idl/membership.thrift
+++ b/packages/wire/idl/membership.thrift
@@ -2,6 +2,8 @@
 // (regions, failure domains, services) stand once in its list "names" and are referred to by index.
 namespace cpp hemlockproxy.wire.gen
 
+include "allowances.thrift"
+
 struct EndpointT {
   1: i32 service_name
   2: i32 slots
@@ -118,6 +120,8 @@
   8: NoticeT notice
   9: NoticeAckT notice_ack
   10: LogReportT log_report
+  11: allowances.AllowanceAskT allowance_ask
+  12: allowances.AllowanceGrantT allowance_grant
 }
 
 struct DatagramT {
--- a/packages/wire/include/hemlockproxy/wire/MembershipCodec.h
+++ b/packages/wire/include/hemlockproxy/wire/MembershipCodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockproxy/decisions/AllowanceMessages.h"
 #include "hemlockproxy/decisions/DistributionMessages.h"
 #include "hemlockproxy/decisions/MembershipMessages.h"
 #include "hemlockproxy/wire/ThriftCodec.h"
@@ -7,9 +8,13 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace hemlockproxy::wire {
 
+/// The most bytes of a datagram, which fit into one packet on all links.
+inline constexpr std::size_t kDatagramBytes = 1200;
+
 /// A message of the UDP control port.
 struct ControlDatagram
 {
@@ -17,7 +22,12 @@
   /// The version that the sender enforces; carried by all datagrams.
   model::ConfigVersion version_;
   model::HybridTimestamp stamp_;
-  std::variant<decisions::Datagram, decisions::Notice, decisions::NoticeAck, decisions::LogReport>
+  std::variant<decisions::Datagram,
+               decisions::Notice,
+               decisions::NoticeAck,
+               decisions::LogReport,
+               decisions::AllowanceAsk,
+               decisions::AllowanceGrant>
     message_;
 };
 
@@ -38,6 +48,15 @@
                                           model::ConfigVersion aEnforced,
                                           model::HybridTimestamp aStamp);
 
+/// Returns the bytes of an ask or a grant, in as many datagrams of at most kDatagramBytes as its
+/// customers need. One without customers takes one.
+[[nodiscard]] std::vector<std::string> EncodeAllowanceAsk(const decisions::AllowanceAsk& aAsk,
+                                                          const model::DaemonId& aFrom,
+                                                          model::HybridTimestamp aStamp);
+[[nodiscard]] std::vector<std::string> EncodeAllowanceGrant(const decisions::AllowanceGrant& aGrant,
+                                                            const model::DaemonId& aFrom,
+                                                            model::HybridTimestamp aStamp);
+
 /// Reads any datagram of the control port; fails on malformed bytes, unknown states, negative
 /// numbers and names that are not listed.
 [[nodiscard]] model::Result<ControlDatagram, DecodeError> DecodeDatagram(std::string_view aBytes);
--- a/packages/wire/src/DatagramCodec.cpp
+++ b/packages/wire/src/DatagramCodec.cpp
@@ -1,5 +1,6 @@
 #include "hemlockproxy/wire/MembershipCodec.h"
 
+#include "impl/AllowanceThrift.h"
 #include "impl/MembershipThrift.h"
 
 #include <optional>
@@ -336,6 +337,18 @@
                             model::ConfigVersion(reader.Number(decoded->body.notice_ack.version)) };
   } else if (decoded->body.__isset.log_report) {
     out.message_ = ReadLogReport(reader, decoded->body.log_report, out.from_);
+  } else if (decoded->body.__isset.allowance_ask) {
+    auto ask = impl::ReadAsk(decoded->body.allowance_ask);
+    if (!ask) {
+      return DecodeError{ "an allowance ask has a value out of range" };
+    }
+    out.message_ = *std::move(ask);
+  } else if (decoded->body.__isset.allowance_grant) {
+    auto grant = impl::ReadGrant(decoded->body.allowance_grant);
+    if (!grant) {
+      return DecodeError{ "an allowance grant has a value out of range" };
+    }
+    out.message_ = *std::move(grant);
   } else {
     auto body = ReadBody(reader, decoded->body, out.from_);
     if (!body) {
