Bound the asks between lenders of allowances

Cause: a lender without tokens asked the root lender up to ten times a second, about 75 kB/s between failure domains at 81 customers by the size of the datagrams. Change: it asks every 400 ms only, about 19 kB/s by the same reckoning. A refused request is told to come back after the lender's next token rather than the daemon's own.

--- a/packages/decisions/include/hemlockproxy/decisions/AllowanceLender.h
+++ b/packages/decisions/include/hemlockproxy/decisions/AllowanceLender.h
@@ -100,8 +100,6 @@
   model::TimePoint reservedSince_{};
   model::TimePoint rootHeard_{};
   model::TimePoint nextAsk_{};
-  model::TimePoint nextUrgent_{};
-  bool urgent_ = false;
 };
 
 } // namespace hemlockproxy::decisions
--- a/packages/decisions/src/AllowanceLender.cpp
+++ b/packages/decisions/src/AllowanceLender.cpp
@@ -19,7 +19,6 @@
 constexpr double kLeastDemand = 10;
 /// A share whose bucket holds less than this is not lent: whole requests are lent in its place.
 constexpr double kLeastStock = 5;
-constexpr std::chrono::milliseconds kUrgentInterval{ 100 };
 
 } // namespace
 
@@ -204,7 +203,6 @@
     Advance(aNow, demand.customer_, line);
     loan.tokens_ = line.bucket_.TakeFor(demand.tokens_, aNow + kAllowanceTokenTerm);
     loan.exhausted_ = loan.tokens_ < demand.tokens_;
-    urgent_ = urgent_ || loan.exhausted_;
     grant.loans_.push_back(std::move(loan));
   }
   return grant;
@@ -213,14 +211,12 @@
 bool AllowanceLender::AskDue(model::TimePoint aNow) const noexcept
 {
   return !lines_.empty() && level_ == AllowanceLevel::Domain && !pledges_.empty() &&
-         (aNow >= nextAsk_ || (urgent_ && aNow >= nextUrgent_));
+         aNow >= nextAsk_;
 }
 
 AllowanceAsk AllowanceLender::Ask(model::TimePoint aNow, const model::DaemonId& aRoot)
 {
   nextAsk_ = aNow + kAllowanceInterval;
-  nextUrgent_ = aNow + kUrgentInterval;
-  urgent_ = false;
   if (reserved_ && borrower_.Pledged(aNow) <= 0 && aNow - rootHeard_ >= kRootTerms.pledge_) {
     AdvanceAll(aNow);
     reserved_ = false;
--- a/packages/decisions/src/Allowances.cpp
+++ b/packages/decisions/src/Allowances.cpp
@@ -14,6 +14,7 @@
 /// Members that are lost count for this long: the pledges behind their shares have expired then,
 /// and a lender that hears of the loss late has heard of it.
 constexpr std::chrono::seconds kFewerDelay{ 15 };
+constexpr std::chrono::duration<double> kMostWait{ 60 };
 constexpr std::uint32_t kMostWaiting = 64;
 /// Below this rate a customer counts as idle.
 constexpr double kLeastDemand = 0.02;
@@ -110,7 +111,14 @@
     ++account.figures_.used_;
     return { true };
   }
-  AllowanceVerdict verdict{ false, account.bucket_.Wait(account.rule_, share), false };
+  // The lender's next token comes for the whole allowance, and is asked for no sooner than after
+  // the quiet time.
+  const std::chrono::duration<double> next(1 / account.rule_.ratePerSecond_);
+  const auto wait = std::max<model::Duration>(
+    kQuiet, std::chrono::duration_cast<model::Duration>(std::min(next, kMostWait)));
+  AllowanceVerdict verdict{ false,
+                            std::min(wait, account.bucket_.Wait(account.rule_, share)),
+                            false };
   if (!aAgain && aNow >= account.quietUntil_) {
     account.waiting_ = std::min(account.waiting_ + 1, kMostWaiting);
     urgent_ = true;
