Refuse requests over a customer's allowance

Cause: the entry knew the customer of a request but ran all of its requests, whatever the allowance. Change: after the customer is known the entry takes one request of its allowance, or answers 429 allowance-used with the time until the next one is expected. Nothing is asked where no customer has an allowance. Metrics allowance_per_second and allowance_requests. Result: hemlock_daemon_tests pass (70 tests), among them RequestsOverTheAllowanceAreRefused.

--- a/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
@@ -10,6 +10,7 @@
 #include "hemlockproxy/daemon/Settings.h"
 #include "hemlockproxy/daemon/StatusSlot.h"
 #include "hemlockproxy/daemon/TrafficView.h"
+#include "hemlockproxy/decisions/AllowanceLender.h"
 #include "hemlockproxy/decisions/Distribution.h"
 #include "hemlockproxy/decisions/Membership.h"
 #include "hemlockproxy/runtime/EventRing.h"
@@ -47,11 +48,19 @@
   wire::QuarantineRecords records_;
 };
 
+/// An ask of this daemon to a lender of allowances.
+struct AllowanceRequest
+{
+  model::DaemonId lender_;
+  decisions::AllowanceAsk ask_;
+};
+
 /// What other threads tell the control thread.
 using ControlMessage = std::variant<LocalEndpoint,
                                     LogReadResult,
                                     LogAppendResult,
                                     QuarantineNews,
+                                    AllowanceRequest,
                                     LeavingCommand,
                                     StopCommand>;
 
@@ -77,6 +86,12 @@
   {
     onQuarantine_ = std::move(aReceiver);
   }
+  /// Sets the receiver of what lenders of allowances grant this daemon; it must not block.
+  void OnAllowanceGrant(
+    std::function<void(const model::DaemonId&, decisions::AllowanceGrant)> aReceiver)
+  {
+    onGrant_ = std::move(aReceiver);
+  }
   void Start();
   /// Hands over a message; returns false when the ring buffer is full.
   [[nodiscard]] bool Tell(ControlMessage aMessage) { return inbox_.TryPush(std::move(aMessage)); }
@@ -101,9 +116,16 @@
   void On(LogReadResult& aResult);
   void On(LogAppendResult& aResult);
   void On(QuarantineNews& aNews);
+  void On(AllowanceRequest& aRequest);
   void On(LeavingCommand& aCommand);
   void On(StopCommand& aCommand);
 
+  void SendAsk(const model::DaemonId& aLender, const decisions::AllowanceAsk& aAsk);
+  void OnAsk(const model::DaemonId& aFrom, const decisions::AllowanceAsk& aAsk);
+  void OnGrant(const model::DaemonId& aFrom, decisions::AllowanceGrant aGrant);
+  /// Chooses the lenders by the membership, and asks the root lender if an ask is due.
+  void TickAllowances();
+
   void OnDatagram(const model::Address& aFrom, std::string_view aBytes);
   [[nodiscard]] std::optional<std::string> OnSync(const std::string& aBody);
   [[nodiscard]] std::optional<std::string> OnFetch(const std::string& aBody);
@@ -157,7 +179,12 @@
   /// Null where no request carries an idempotency key.
   std::unique_ptr<ClaimService> claims_;
   std::function<void(wire::QuarantineRecords)> onQuarantine_;
+  std::function<void(const model::DaemonId&, decisions::AllowanceGrant)> onGrant_;
   model::RandomSource random_;
+  decisions::AllowanceLender domainLender_;
+  decisions::AllowanceLender rootLender_;
+  /// Of all failure domains that can be reached.
+  model::DaemonId rootLenderId_;
   std::unordered_map<model::DaemonId, model::FailureDomain> domains_;
   std::vector<model::FailureDomain> unreachable_;
   std::optional<model::Endpoint> local_;
--- a/packages/daemon/include/hemlockproxy/daemon/EntryService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/EntryService.h
@@ -6,6 +6,7 @@
 #include "hemlockproxy/daemon/ResumingBody.h"
 #include "hemlockproxy/daemon/TrafficView.h"
 #include "hemlockproxy/daemon/Upstream.h"
+#include "hemlockproxy/decisions/Allowances.h"
 #include "hemlockproxy/decisions/AttemptTimeout.h"
 #include "hemlockproxy/decisions/EndpointChooser.h"
 #include "hemlockproxy/decisions/EntryGate.h"
@@ -19,6 +20,7 @@
 #include "hemlockproxy/runtime/StructuredLog.h"
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -52,6 +54,8 @@
   decisions::SharedRetryLimit retryLimit_;
   /// Null writes no lines.
   runtime::StructuredLog* lines_ = nullptr;
+  /// Sends an ask to a lender of allowances; null where there is none.
+  std::function<void(model::DaemonId, decisions::AllowanceAsk)> askAllowances_;
 };
 
 /// Handles callers' requests: finds the route, chooses endpoints, retries and delivers the
@@ -73,6 +77,8 @@
   void Handle(runtime::HttpExchange& aExchange);
   /// Watches the other daemons; called often while requests are in progress.
   void Tick();
+  /// Takes in what a lender of allowances has granted.
+  void TakeGrant(const model::DaemonId& aLender, const decisions::AllowanceGrant& aGrant);
   /// After this call no running attempt gets a second one beside it; callable from any thread.
   void SetStopping() noexcept { stopping_ = true; }
   /// After this call requests whose bodies are still awaited are rejected as leaving; callable from
@@ -109,6 +115,14 @@
   [[nodiscard]] UpstreamReply Admit(runtime::HttpExchange& aExchange,
                                     const TrafficView& aView,
                                     Call& aCall);
+  /// Takes the configuration's customers and the membership into the allowances.
+  void RefreshAllowances(const TrafficView& aView);
+  /// Asks the lender if an ask is due.
+  void AskAllowances(const TrafficView& aView);
+  void RecordAllowances();
+  /// Takes one request of the customer's allowance, waiting for the lender where this daemon holds
+  /// none; returns false when the allowance is used up.
+  [[nodiscard]] bool TakeAllowance(const TrafficView& aView, Call& aCall);
   /// Reads the body's first part and runs the attempts.
   [[nodiscard]] UpstreamReply Run(runtime::HttpExchange& aExchange, Call& aCall);
   [[nodiscard]] UpstreamReply RunAttempts(Call& aCall);
@@ -159,6 +173,7 @@
   /// The split of each route that several services share, by host and prefix.
   std::map<std::pair<std::string, std::string>, decisions::WeightedSplit> splits_;
   decisions::EntryGate gate_;
+  decisions::Allowances allowances_;
   std::unique_ptr<impl::PeerProber> prober_;
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> rejectsLateBodies_ = false;
--- a/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
@@ -19,10 +19,20 @@
 
 namespace hemlockproxy::daemon {
 
+/// What a lender of allowances has granted.
+struct AllowanceAnswer
+{
+  model::DaemonId lender_;
+  decisions::AllowanceGrant grant_;
+};
+
 /// Serves callers, other daemons and the backend server of this instance on a thread of its own.
 class TrafficThread : private BackendDesk
 {
 public:
+  /// Sends an ask to a lender of allowances; must not block.
+  using AskAllowances = std::function<void(model::DaemonId, decisions::AllowanceAsk)>;
+
   /// Opens both listeners; fails when an address is in use. The references must outlive the thread.
   [[nodiscard]] static runtime::HttpResult<std::unique_ptr<TrafficThread>> Create(
     const Settings& aSettings,
@@ -32,7 +42,8 @@
     runtime::EventRing& aEvents,
     runtime::StructuredLog& aLines,
     OwnerService::TellPeers aTellPeers,
-    OwnerService::OnEndpoint aOnEndpoint);
+    OwnerService::OnEndpoint aOnEndpoint,
+    AskAllowances aAskAllowances);
   ~TrafficThread() override;
   TrafficThread(const TrafficThread&) = delete;
   TrafficThread& operator=(const TrafficThread&) = delete;
@@ -46,6 +57,8 @@
   {
     return inbox_.TryPush(std::move(aRecords));
   }
+  /// Hands over a grant of a lender of allowances; returns false when the ring buffer is full.
+  [[nodiscard]] bool Tell(AllowanceAnswer aAnswer) { return inbox_.TryPush(std::move(aAnswer)); }
   /// Hands over a report of the backend server; returns false when the ring buffer is full.
   [[nodiscard]] bool Announce(model::BackendReport aReport)
   {
@@ -70,7 +83,8 @@
 
 private:
   /// What other threads tell the traffic thread.
-  using Message = std::variant<std::vector<decisions::QuarantineRecord>, model::BackendReport>;
+  using Message =
+    std::variant<std::vector<decisions::QuarantineRecord>, model::BackendReport, AllowanceAnswer>;
 
   TrafficThread(const Settings& aSettings,
                 const Adapters& aAdapters,
@@ -79,7 +93,8 @@
                 runtime::EventRing& aEvents,
                 runtime::StructuredLog& aLines,
                 OwnerService::TellPeers aTellPeers,
-                OwnerService::OnEndpoint aOnEndpoint);
+                OwnerService::OnEndpoint aOnEndpoint,
+                AskAllowances aAskAllowances);
 
   bool Report(const model::BackendReport& aReport) override { return owner_.Report(aReport); }
   void Leave(const model::BackendId& aId) override { owner_.BackendLeaves(aId); }
--- a/packages/daemon/include/hemlockproxy/daemon/TrafficView.h
+++ b/packages/daemon/include/hemlockproxy/daemon/TrafficView.h
@@ -22,6 +22,10 @@
   /// Live members of the own failure domain, in order of id.
   std::vector<std::shared_ptr<const model::MemberRecord>> domainMembers_;
   bool leaving_ = false;
+  /// The daemon that lends shares of customers' allowances in the own failure domain.
+  model::DaemonId allowanceLender_;
+  /// Daemons known in all failure domains, this one included.
+  std::size_t daemons_ = 0;
 };
 
 using TrafficViewPtr = std::shared_ptr<const TrafficView>;
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -4,6 +4,7 @@
 
 #include "hemlockproxy/daemon/OperatorConfigSource.h"
 #include "hemlockproxy/daemon/PublishedConfigSource.h"
+#include "hemlockproxy/decisions/RendezvousHash.h"
 #include "hemlockproxy/wire/ConfigCodec.h"
 #include "hemlockproxy/wire/DistributionCodec.h"
 #include "hemlockproxy/wire/MembershipCodec.h"
@@ -11,6 +12,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
+#include <random>
 
 namespace hemlockproxy::daemon {
 
@@ -40,6 +42,12 @@
   return std::chrono::steady_clock::now();
 }
 
+/// Names this process to borrowers of allowances.
+std::uint64_t DrawEpoch(model::RandomSource& aRandom)
+{
+  return std::uniform_int_distribution<std::uint64_t>(1)(aRandom);
+}
+
 decisions::MembershipOptions MakeMembershipOptions(const Settings& aSettings)
 {
   decisions::MembershipOptions options;
@@ -151,6 +159,8 @@
                 std::visit([this](auto& aOne) { (void)inbox_.Push(std::move(aOne)); }, aCompletion);
               })
   , random_(std::random_device()())
+  , domainLender_(decisions::AllowanceLevel::Domain, DrawEpoch(random_), Now())
+  , rootLender_(decisions::AllowanceLevel::Root, DrawEpoch(random_), Now())
 {
   if (aSettings.interface_ == Interface::Hemlock) {
     claims_ = std::make_unique<ClaimService>(kFirstClaimsTicket, [this](LogCommand aCommand) {
@@ -223,6 +233,7 @@
   if (claims_) {
     claims_->Tick(Now());
   }
+  TickAllowances();
   ReadLogIfDue();
   if (membership_.Live(settings_.domain_).size() <= 1) {
     memberStream_.Refresh();
@@ -340,6 +351,10 @@
     Distribution(decisions::NoticeAckReceived{ *ack });
   } else if (auto* report = std::get_if<decisions::LogReport>(&decoded->message_)) {
     Distribution(decisions::LogReportReceived{ *report });
+  } else if (const auto* ask = std::get_if<decisions::AllowanceAsk>(&decoded->message_)) {
+    OnAsk(decoded->from_, *ask);
+  } else if (auto* grant = std::get_if<decisions::AllowanceGrant>(&decoded->message_)) {
+    OnGrant(decoded->from_, std::move(*grant));
   }
   Publish();
 }
@@ -443,10 +458,15 @@
                                                   { model::MemberState::Suspect, 0 },
                                                   { model::MemberState::Dead, 0 },
                                                   { model::MemberState::Left, 0 } };
+  std::vector<model::DaemonId> reachable;
   for (const auto& member : membership_.Members()) {
     states[member->state_] += member->domain_ == settings_.domain_ ? 1 : 0;
     const bool live =
       member->state_ == model::MemberState::Alive || member->state_ == model::MemberState::Suspect;
+    view->daemons_ += live ? 1 : 0;
+    if (live && membership_.Reachable(member->domain_)) {
+      reachable.push_back(member->id_);
+    }
     if (live && member->endpoint_) {
       view->endpoints_.push_back(member);
     }
@@ -474,6 +494,11 @@
   status->nextOffset_ = source_->NextOffset();
   status->logAvailable_ = source_->LogAvailable();
   status->unreachable_ = unreachable_;
+  const auto lenders =
+    decisions::ChooseByRendezvous("allowances", membership_.Live(settings_.domain_), 1);
+  view->allowanceLender_ = lenders.empty() ? model::DaemonId() : lenders.front();
+  const auto roots = decisions::ChooseByRendezvous("allowances-root", reachable, 1);
+  rootLenderId_ = roots.empty() ? model::DaemonId() : roots.front();
   views_.Store(std::move(view));
   status_.Store(std::move(status));
 }
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -233,12 +233,20 @@
     },
     [&control](std::optional<model::Endpoint> aEndpoint) {
       TellEndpoint(**control, std::move(aEndpoint));
+    },
+    [&control](model::DaemonId aLender, decisions::AllowanceAsk aAsk) {
+      // A full ring buffer loses the ask like the link would; the next one follows.
+      (void)(*control)->Tell(AllowanceRequest{ std::move(aLender), std::move(aAsk) });
     });
   if (!traffic) {
     return DaemonError{ traffic.Error().message_ };
   }
   (*control)->OnQuarantine(
     [&traffic](wire::QuarantineRecords aRecords) { (void)(*traffic)->Tell(std::move(aRecords)); });
+  (*control)->OnAllowanceGrant(
+    [&traffic](const model::DaemonId& aLender, decisions::AllowanceGrant aGrant) {
+      (void)(*traffic)->Tell(AllowanceAnswer{ aLender, std::move(aGrant) });
+    });
   AdminPorts ports;
   ports.name_ = aSettings.name_;
   ports.status_ = &status;
--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -5,6 +5,7 @@
 #include "impl/PeerProber.h"
 
 #include <algorithm>
+#include <random>
 
 namespace hemlockproxy::daemon {
 
@@ -32,6 +33,15 @@
 /// Metrics are fetched every few seconds.
 constexpr std::chrono::milliseconds kFiguresInterval{ 1000 };
 
+/// The next request of a small allowance may be a long time away.
+constexpr std::chrono::milliseconds kMostAllowanceWait{ 60000 };
+
+/// Names this process to lenders of allowances.
+std::uint64_t DrawEpoch(model::RandomSource& aRandom)
+{
+  return std::uniform_int_distribution<std::uint64_t>(1)(aRandom);
+}
+
 WorkClass WorkOf(const model::RouteRule& aRule,
                  model::TimePoint aStarted,
                  model::TimePoint aDeadline)
@@ -91,6 +101,7 @@
   , keyed_(aIo, options_.localIp_, aViews, aMetrics)
   , random_(std::random_device()())
   , gate_(decisions::EntryGateOptions{})
+  , allowances_(DrawEpoch(random_), std::chrono::steady_clock::now())
   , prober_(std::make_unique<impl::PeerProber>(
       aIo,
       pool_,
@@ -107,12 +118,16 @@
 void EntryService::Tick()
 {
   prober_->Tick();
+  const TrafficViewPtr view = views_.Load();
+  RefreshAllowances(*view);
+  AskAllowances(*view);
   const auto now = std::chrono::steady_clock::now();
   if (now < nextFigures_) {
     return;
   }
   nextFigures_ = now + kFiguresInterval;
   pool_.DropExpired();
+  RecordAllowances();
   for (const auto& [service, target] : targets_) {
     if (target.retries_) {
       metrics_.Set(
@@ -295,6 +310,9 @@
     options_.dialect_->RemoveCustomerFields(aCall.request_.header_);
   }
   aCall.request_.header_.erase(http::field::expect);
+  if (customer != nullptr && !TakeAllowance(aView, aCall)) {
+    return Refused(RequestOutcome::NotRun, RefusalReason::AllowanceUsed);
+  }
   return Refused(RequestOutcome::NotRun, RefusalReason::None);
 }
 
@@ -360,7 +378,11 @@
                  ToString(aReply.reason_) });
   std::optional<std::chrono::milliseconds> retryAfter;
   if (aReply.outcome_ != RequestOutcome::Answered && impl::MayComeBack(aReply)) {
-    retryAfter = decisions::RetryTime({}, aCall.expectedWait_, random_);
+    decisions::RetryTimeOptions options;
+    if (aReply.reason_ == RefusalReason::AllowanceUsed) {
+      options.most_ = kMostAllowanceWait;
+    }
+    retryAfter = decisions::RetryTime(options, aCall.expectedWait_, random_);
   }
   const auto stage = aCall.unread_ ? impl::LeftStage::Unread : impl::StageOf(aReply.outcome_);
   if (aCall.cancel_.Cancelled()) {
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -23,9 +23,11 @@
 
 EntryOptions MakeEntryOptions(const Settings& aSettings,
                               const Adapters& aAdapters,
-                              runtime::StructuredLog& aLines)
+                              runtime::StructuredLog& aLines,
+                              TrafficThread::AskAllowances aAskAllowances)
 {
   EntryOptions options;
+  options.askAllowances_ = std::move(aAskAllowances);
   options.self_ = IdOf(aSettings);
   options.domain_ = aSettings.domain_;
   options.localIp_ = aSettings.forward_.ip_;
@@ -65,7 +67,8 @@
   runtime::EventRing& aEvents,
   runtime::StructuredLog& aLines,
   OwnerService::TellPeers aTellPeers,
-  OwnerService::OnEndpoint aOnEndpoint)
+  OwnerService::OnEndpoint aOnEndpoint,
+  AskAllowances aAskAllowances)
 {
   std::unique_ptr<TrafficThread> thread(new TrafficThread(aSettings,
                                                           aAdapters,
@@ -74,7 +77,8 @@
                                                           aEvents,
                                                           aLines,
                                                           std::move(aTellPeers),
-                                                          std::move(aOnEndpoint)));
+                                                          std::move(aOnEndpoint),
+                                                          std::move(aAskAllowances)));
   if (auto opened = thread->OpenListeners(aSettings); !opened) {
     return opened.Error();
   }
@@ -88,7 +92,8 @@
                              runtime::EventRing& aEvents,
                              runtime::StructuredLog& aLines,
                              OwnerService::TellPeers aTellPeers,
-                             OwnerService::OnEndpoint aOnEndpoint)
+                             OwnerService::OnEndpoint aOnEndpoint,
+                             AskAllowances aAskAllowances)
   : io_(std::make_shared<runtime::IoContext>(1))
   , adapters_(aAdapters)
   , views_(aViews)
@@ -102,7 +107,11 @@
            aEvents,
            std::move(aTellPeers),
            std::move(aOnEndpoint))
-  , entry_(io_, MakeEntryOptions(aSettings, aAdapters, aLines), aViews, owner_, aMetrics)
+  , entry_(io_,
+           MakeEntryOptions(aSettings, aAdapters, aLines, std::move(aAskAllowances)),
+           aViews,
+           owner_,
+           aMetrics)
   , spin_(aSettings.trafficSpin_)
 {
 }
@@ -250,6 +259,8 @@
     while (inbox_.Pop(message)) {
       if (const auto* report = std::get_if<model::BackendReport>(&message)) {
         (void)owner_.Report(*report);
+      } else if (const auto* answer = std::get_if<AllowanceAnswer>(&message)) {
+        entry_.TakeGrant(answer->lender_, answer->grant_);
       } else {
         owner_.MergeQuarantine(std::get<std::vector<decisions::QuarantineRecord>>(message));
       }
--- a/packages/daemon/tests/CustomerKeysTest.cpp
+++ b/packages/daemon/tests/CustomerKeysTest.cpp
@@ -210,3 +210,18 @@
     STRCMP_EQUAL("mill", mesh.Seen(kCustomerName).c_str());
   });
 }
+
+// Guards against requests over an allowance that run, and against customers without an allowance
+// that are counted. This daemon has no lender and holds next to nothing.
+TEST(CustomerKeys, RequestsOverTheAllowanceAreRefused)
+{
+  runtime::RunInLoop([](const runtime::IoContextPtr& aIo) {
+    Mesh mesh(aIo);
+    model::Customer limited = MakeCustomer("limited", "other");
+    limited.ratePerSecond_ = 1;
+    mesh.Use({ MakeCustomer("mill", "secret"), limited });
+    LONGS_EQUAL(429, mesh.Ask("other"));
+    LONGS_EQUAL(0, mesh.Requests());
+    LONGS_EQUAL(200, mesh.Ask("secret"));
+  });
+}
--- a/packages/runtime/include/hemlockproxy/runtime/Metrics.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Metrics.h
@@ -86,6 +86,10 @@
   Members,
   /// Lines of the structured log that were dropped, by class.
   LinesDropped,
+  /// Requests per second of customers' allowances, by customer: all of it, and lent to this daemon.
+  Allowances,
+  /// Requests of customers with allowances at this daemon, by customer: used and refused.
+  AllowanceRequests,
   Count,
 };
 
--- a/packages/runtime/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -97,6 +97,12 @@
     { { "log_lines_dropped_total", "Lines of the structured log that were dropped." },
       "counter",
       { "class" } },
+    { { "allowance_per_second", "Requests per second of customers' allowances." },
+      "gauge",
+      { "customer", "part" } },
+    { { "allowance_requests", "Requests of customers with allowances since the start." },
+      "gauge",
+      { "customer", "result" } },
   } };
   return kFamilies;
 }
