Join two equal branches of Allowances::SetDaemons

Cause: clang-tidy reports bugprone-branch-clone. Change: one condition for both. Result: Allowances tests and AllowanceFuzz (300 sequences) pass in a build of these files alone.

--- a/packages/decisions/src/Allowances.cpp
+++ b/packages/decisions/src/Allowances.cpp
@@ -69,14 +69,12 @@
     return;
   }
   AdvanceAll(aNow);
-  if (aCount > daemons_) {
+  const bool waiting = fewerSince_ != model::TimePoint{};
+  if (aCount > daemons_ || (waiting && aNow - fewerSince_ >= kFewerDelay)) {
     daemons_ = aCount;
     fewerSince_ = {};
-  } else if (fewerSince_ == model::TimePoint{}) {
+  } else if (!waiting) {
     fewerSince_ = aNow;
-  } else if (aNow - fewerSince_ >= kFewerDelay) {
-    daemons_ = aCount;
-    fewerSince_ = {};
   }
 }
 
