--- a/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
@@ -10,6 +10,7 @@
 #include "hemlockproxy/daemon/Settings.h"
 #include "hemlockproxy/daemon/StatusSlot.h"
 #include "hemlockproxy/daemon/TrafficView.h"
+#include "hemlockproxy/decisions/AllowanceLender.h"
 #include "hemlockproxy/decisions/DepartureBook.h"
 #include "hemlockproxy/decisions/Distribution.h"
 #include "hemlockproxy/decisions/Membership.h"
@@ -60,12 +61,20 @@
   std::function<void()> done_;
 };
 
+/// An ask of this daemon to a lender of allowances.
+struct AllowanceRequest
+{
+  model::DaemonId lender_;
+  decisions::AllowanceAsk ask_;
+};
+
 /// What other threads tell the control thread.
 using ControlMessage = std::variant<LocalEndpoint,
                                     LogReadResult,
                                     LogAppendResult,
                                     QuarantineNews,
                                     DepartureNews,
+                                    AllowanceRequest,
                                     LeavingCommand,
                                     StopCommand>;
 
@@ -105,6 +114,12 @@
   {
     onDepartures_ = std::move(aReceiver);
   }
+  /// Sets the receiver of what lenders of allowances grant this daemon; it must not block.
+  void OnAllowanceGrant(
+    std::function<void(const model::DaemonId&, decisions::AllowanceGrant)> aReceiver)
+  {
+    onGrant_ = std::move(aReceiver);
+  }
   void Start();
   /// Hands over a message; returns false when the ring buffer is full.
   [[nodiscard]] bool Tell(ControlMessage aMessage) { return inbox_.TryPush(std::move(aMessage)); }
@@ -130,9 +145,16 @@
   void On(LogAppendResult& aResult);
   void On(QuarantineNews& aNews);
   void On(DepartureNews& aNews);
+  void On(AllowanceRequest& aRequest);
   void On(LeavingCommand& aCommand);
   void On(StopCommand& aCommand);
 
+  void SendAsk(const model::DaemonId& aLender, const decisions::AllowanceAsk& aAsk);
+  void OnAsk(const model::DaemonId& aFrom, const decisions::AllowanceAsk& aAsk);
+  void OnGrant(const model::DaemonId& aFrom, decisions::AllowanceGrant aGrant);
+  /// Chooses the lenders by the membership, and asks the root lender if an ask is due.
+  void TickAllowances();
+
   void OnDatagram(const model::Address& aFrom, std::string_view aBytes);
   [[nodiscard]] std::optional<std::string> OnSync(const std::string& aBody);
   [[nodiscard]] std::optional<std::string> OnFetch(const std::string& aBody);
@@ -199,7 +221,12 @@
   std::function<bool(QuarantineReader)> readQuarantine_;
   std::function<bool(std::vector<decisions::DepartureRecord>, bool)> onDepartures_;
   std::unique_ptr<impl::PeerMemory> peerMemory_;
+  std::function<void(const model::DaemonId&, decisions::AllowanceGrant)> onGrant_;
   model::RandomSource random_;
+  decisions::AllowanceLender domainLender_;
+  decisions::AllowanceLender rootLender_;
+  /// Of all failure domains that can be reached.
+  model::DaemonId rootLenderId_;
   std::unordered_map<model::DaemonId, model::FailureDomain> domains_;
   std::vector<model::FailureDomain> unreachable_;
   std::optional<model::Endpoint> local_;
--- a/packages/runtime/include/hemlockproxy/runtime/Metrics.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Metrics.h
@@ -93,6 +93,10 @@
   /// Connections and requests that a bound of the process refused or dropped, by bound and what was
   /// refused.
   ConnectionsBounded,
+  /// Requests per second of customers' allowances, by customer: all of it, and lent to this daemon.
+  Allowances,
+  /// Requests of customers with allowances at this daemon, by customer: used and refused.
+  AllowanceRequests,
   Count,
 };
 
--- a/packages/runtime/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -105,6 +105,12 @@
         "Connections and requests that a bound of the process refused or dropped." },
       "counter",
       { "bound", "what" } },
+    { { "allowance_per_second", "Requests per second of customers' allowances." },
+      "gauge",
+      { "customer", "part" } },
+    { { "allowance_requests", "Requests of customers with allowances since the start." },
+      "gauge",
+      { "customer", "result" } },
   } };
   return kFamilies;
 }
