--- a/packages/daemon/tests/PeerMemoryTest.cpp
+++ b/packages/daemon/tests/PeerMemoryTest.cpp
@@ -3,6 +3,7 @@
 #include "hemlockproxy/runtime/Metrics.h"
 
 #include "impl/ControlCalls.h"
+#include "impl/ProcessBounds.h"
 
 #include "TestLoop.h"
 
@@ -34,7 +35,7 @@
   Node(const runtime::IoContextPtr& aIo,
        model::Address aAddress,
        const PeerMemory::Members& aMembers)
-    : transport_(*ControlTransport::Create(aIo, aAddress, metrics_))
+    : transport_(*ControlTransport::Create(aIo, aAddress, metrics_, impl::MakeControlBounds({})))
     , memory_(
         *transport_,
         model::DaemonId(ToString(aAddress)),
