Admit requests of customers by equal shares of their allowances

Change: EqualShares gives each daemon an equal share without messages; lending is behind the setting allowance_lending, off by default.

--- a/packages/daemon/include/hemlockproxy/daemon/EntryService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/EntryService.h
@@ -10,6 +10,7 @@
 #include "hemlockproxy/decisions/AttemptTimeout.h"
 #include "hemlockproxy/decisions/EndpointChooser.h"
 #include "hemlockproxy/decisions/EntryGate.h"
+#include "hemlockproxy/decisions/EqualShares.h"
 #include "hemlockproxy/decisions/PeerReach.h"
 #include "hemlockproxy/decisions/RetryPolicy.h"
 #include "hemlockproxy/decisions/RetryTime.h"
@@ -54,7 +55,7 @@
   decisions::SharedRetryLimit retryLimit_;
   /// Null writes no lines.
   runtime::StructuredLog* lines_ = nullptr;
-  /// Sends an ask to a lender of allowances; null where there is none.
+  /// Sends an ask to a lender of allowances; null where each daemon has an equal share.
   std::function<void(model::DaemonId, decisions::AllowanceAsk)> askAllowances_;
 };
 
@@ -173,7 +174,10 @@
   /// The split of each route that several services share, by host and prefix.
   std::map<std::pair<std::string, std::string>, decisions::WeightedSplit> splits_;
   decisions::EntryGate gate_;
+  /// Used where daemons lend each other shares.
   decisions::Allowances allowances_;
+  /// Used where they do not.
+  decisions::EqualShares shares_;
   std::unique_ptr<impl::PeerProber> prober_;
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> rejectsLateBodies_ = false;
--- a/packages/daemon/include/hemlockproxy/daemon/Settings.h
+++ b/packages/daemon/include/hemlockproxy/daemon/Settings.h
@@ -91,6 +91,9 @@
   /// Bytes that these connections and their requests may take together by estimate, written as
   /// connection_memory_mb; 0 derives them from the instance's memory.
   std::uint64_t connectionMemoryBytes_ = 0;
+  /// Whether daemons lend each other shares of customers' allowances by demand; otherwise each has
+  /// an equal share.
+  bool allowanceLending_ = false;
   /// A request that the backend server has not answered after this many times the mean service time
   /// of its kind is given up; 0 waits until the deadline.
   double hangFactor_ = 0;
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -252,7 +252,9 @@
   if (claims_) {
     claims_->Tick(Now());
   }
-  TickAllowances();
+  if (settings_.allowanceLending_) {
+    TickAllowances();
+  }
   ReadLogIfDue();
   peerMemory_->Tick(Now());
   if (Now() - lastTick_ > kLongGap) {
--- a/packages/daemon/src/EntryAllowances.cpp
+++ b/packages/daemon/src/EntryAllowances.cpp
@@ -29,7 +29,12 @@
   if (!aView.routes_) {
     return;
   }
-  allowances_.Configure(Now(), aView.routes_->Configuration().customers_);
+  const auto& customers = aView.routes_->Configuration().customers_;
+  if (!options_.askAllowances_) {
+    shares_.Configure(customers, aView.daemons_);
+    return;
+  }
+  allowances_.Configure(Now(), customers);
   allowances_.SetDaemons(Now(), aView.daemons_);
 }
 
@@ -51,6 +56,13 @@
 {
   RefreshAllowances(aView);
   const model::CustomerName& customer = aCall.request_.customer_;
+  if (!options_.askAllowances_) {
+    const bool admitted = shares_.Take(Now(), customer);
+    if (!admitted) {
+      aCall.expectedWait_ = shares_.Wait(Now(), customer);
+    }
+    return admitted;
+  }
   auto verdict = allowances_.Admit(Now(), customer);
   const auto until = std::min(Now() + kTokenWait, aCall.request_.deadline_);
   while (verdict.askable_ && !verdict.admitted_ && Now() < until && !aCall.cancel_.Cancelled()) {
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -52,7 +52,7 @@
     std::chrono::milliseconds most_;
   };
 
-  static const std::array<Key, 34> kKeys;
+  static const std::array<Key, 35> kKeys;
 
   void Add(const YAML::Mark& aMark, std::string aMessage)
   {
@@ -126,6 +126,7 @@
   void SetRetryWindow(const YAML::Node& aValue);
   void SetRetryExtra(const YAML::Node& aValue);
   void SetTrafficSpin(const YAML::Node& aValue);
+  void SetAllowanceLending(const YAML::Node& aValue);
   void SetLinkRate(const YAML::Node& aValue);
   void SetMemory(const YAML::Node& aValue) { SetMegabytes(aValue, &Settings::memoryBytes_); }
   void SetDescriptors(const YAML::Node& aValue) { SetNumber(aValue, &Settings::descriptors_); }
@@ -151,7 +152,7 @@
   SettingsErrors errors_;
 };
 
-const std::array<SettingsParser::Key, 34> SettingsParser::kKeys = { {
+const std::array<SettingsParser::Key, 35> SettingsParser::kKeys = { {
   { "name", Need::Required, &SettingsParser::SetName },
   { "region", Need::Required, &SettingsParser::SetRegion },
   { "failure_domain", Need::Required, &SettingsParser::SetDomain },
@@ -180,6 +181,7 @@
   { "retry_window", Need::Optional, &SettingsParser::SetRetryWindow },
   { "retry_extra", Need::Optional, &SettingsParser::SetRetryExtra },
   { "traffic_spin", Need::Optional, &SettingsParser::SetTrafficSpin },
+  { "allowance_lending", Need::Optional, &SettingsParser::SetAllowanceLending },
   { "link_mbps", Need::Optional, &SettingsParser::SetLinkRate },
   { "memory_mb", Need::Optional, &SettingsParser::SetMemory },
   { "descriptors", Need::Optional, &SettingsParser::SetDescriptors },
@@ -253,6 +255,13 @@
   }
 }
 
+void SettingsParser::SetAllowanceLending(const YAML::Node& aValue)
+{
+  if (!YAML::convert<bool>::decode(aValue, settings_.allowanceLending_)) {
+    Add(aValue.Mark(), "found '" + Text(aValue) + "'; expected true or false");
+  }
+}
+
 void SettingsParser::SetRetryShare(const YAML::Node& aValue)
 {
   if (!YAML::convert<double>::decode(aValue, settings_.retryShare_) ||
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -34,7 +34,7 @@
                               TrafficThread::AskAllowances aAskAllowances)
 {
   EntryOptions options;
-  options.askAllowances_ = std::move(aAskAllowances);
+  options.askAllowances_ = aSettings.allowanceLending_ ? std::move(aAskAllowances) : nullptr;
   options.self_ = IdOf(aSettings);
   options.domain_ = aSettings.domain_;
   options.localIp_ = aSettings.forward_.ip_;
--- a/packages/decisions/include/hemlockproxy/decisions/Decisions.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Decisions.h
@@ -26,6 +26,7 @@
 #include "hemlockproxy/decisions/EndpointChooser.h"
 #include "hemlockproxy/decisions/EndpointPicker.h"
 #include "hemlockproxy/decisions/EntryGate.h"
+#include "hemlockproxy/decisions/EqualShares.h"
 #include "hemlockproxy/decisions/HostSlowdown.h"
 #include "hemlockproxy/decisions/KeyedRequests.h"
 #include "hemlockproxy/decisions/Membership.h"
