--- a/packages/daemon/tests/EntryServiceTest.cpp
+++ b/packages/daemon/tests/EntryServiceTest.cpp
@@ -169,13 +169,13 @@
 TEST_GROUP(EntryServiceBrokenBody)
 {
   /// An owner whose responses break off before the first byte of their bodies.
-  RawServer broken{ [](RawServer::Socket& aSocket, int) {
-                     (void)ReadRequest(aSocket, true);
-                     Write(aSocket,
-                           "HTTP/1.1 200 OK\r\nHemlock-Outcome: answered\r\n"
-                           "Transfer-Encoding: chunked\r\n\r\n");
-                   },
-                    kConnections };
+  RawServer broken_{ [](RawServer::Socket& aSocket, int) {
+                      (void)ReadRequest(aSocket, true);
+                      Write(aSocket,
+                            "HTTP/1.1 200 OK\r\nHemlock-Outcome: answered\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n");
+                    },
+                     kConnections };
   static constexpr int kConnections = 100;
 };
 
@@ -185,7 +185,7 @@
 {
   runtime::RunInLoop([this](const runtime::IoContextPtr& aIo) {
     CountingServer well(aIo);
-    const Entry entry(aIo, { broken.Address(), well.Address() });
+    const Entry entry(aIo, { broken_.Address(), well.Address() });
     runtime::HttpConnectionPool pool(aIo, 1, kExchangeTimeout);
     const auto response =
       runtime::Fetch(pool, entry.Address(), entry.Request(), {}, kExchangeTimeout, 1024);
@@ -199,7 +199,7 @@
 {
   runtime::RunInLoop([this](const runtime::IoContextPtr& aIo) {
     CountingServer well(aIo);
-    const Entry entry(aIo, { broken.Address(), well.Address() });
+    const Entry entry(aIo, { broken_.Address(), well.Address() });
     auto request = entry.Request();
     request.method(runtime::http::verb::post);
     LONGS_EQUAL(502, StatusOf(*aIo, entry.Address(), std::move(request)));
--- a/packages/daemon/tests/PeerMemoryTest.cpp
+++ b/packages/daemon/tests/PeerMemoryTest.cpp
@@ -33,7 +33,7 @@
 {
 public:
   Node(const runtime::IoContextPtr& aIo,
-       model::Address aAddress,
+       const model::Address& aAddress,
        const PeerMemory::Members& aMembers)
     : transport_(*ControlTransport::Create(aIo, aAddress, metrics_, impl::MakeControlBounds({})))
     , memory_(
--- a/packages/daemon/tests/QuarantineReturnTest.cpp
+++ b/packages/daemon/tests/QuarantineReturnTest.cpp
@@ -103,7 +103,7 @@
       return true;
     });
     thread_->OnDepartures([](const auto&, bool) { return true; });
-    thread_->OnQuarantine([this](wire::QuarantineRecords aRecords) {
+    thread_->OnQuarantine([this](const wire::QuarantineRecords& aRecords) {
       publishedBefore_ = publishedBefore_ || PublishesOwn();
       received_ += static_cast<int>(aRecords.size());
       return true;
