--- a/packages/runtime/tests/ResponseHeadTest.cpp
+++ b/packages/runtime/tests/ResponseHeadTest.cpp
@@ -75,8 +75,7 @@
                             "Bad\x01Name: a",
                             "Bad\x7fName: a",
                             "Bad\tName: a",
-                            "B\xc3\xa4"
-                            "d: a",
+                            "Bad\xc3\xa4: a",
                             "Bad(Name): a" }) {
     CheckInvalid(With(line));
   }
