Do not use log4cxx at the end of the process

Change: lines without an output are not handed to the thread, and an exit handler ends it, within 200 ms.

--- a/packages/runtime/src/MessageLog.cpp
+++ b/packages/runtime/src/MessageLog.cpp
@@ -7,8 +7,10 @@
 #include <log4cxx/patternlayout.h>
 #include <log4cxx/spi/loggingevent.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <csignal>
+#include <cstdlib>
 #include <deque>
 #include <mutex>
 #include <thread>
@@ -20,6 +22,8 @@
 /// Bounds of the lines that wait to be written.
 constexpr std::size_t kMostWaiting = 1000;
 constexpr std::size_t kMostWaitingBytes = 256UL * 1024;
+/// A thread that writes a line ends soon, and one whose output blocks does not.
+constexpr std::chrono::milliseconds kExitWait{ 200 };
 
 log4cxx::LoggerPtr RootLogger()
 {
@@ -27,6 +31,14 @@
   return kLogger;
 }
 
+/// Whether there is an output. Without one, lines are not handed to a thread that may still use
+/// log4cxx at the end of the process.
+std::atomic<bool>& HasOutput()
+{
+  static std::atomic<bool> hasOutput{ false };
+  return hasOutput;
+}
+
 log4cxx::LevelPtr ToLog4cxx(LogLevel aLevel)
 {
   switch (aLevel) {
@@ -65,6 +77,16 @@
     changed_.wait_for(lock, aLimit, [this] { return lines_.empty() && !writing_; });
   }
 
+  /// Ends the thread unless its output blocks; the rest of the lines is lost. log4cxx must not be
+  /// used while its static objects are destroyed.
+  void Stop(std::chrono::milliseconds aLimit)
+  {
+    std::unique_lock lock(mutex_);
+    stopping_ = true;
+    changed_.notify_all();
+    changed_.wait_for(lock, aLimit, [this] { return ended_; });
+  }
+
   [[nodiscard]] std::uint64_t Dropped() const
   {
     const std::lock_guard lock(mutex_);
@@ -75,7 +97,12 @@
   {
     std::unique_lock lock(mutex_);
     while (true) {
-      changed_.wait(lock, [this] { return !lines_.empty() || reported_ < dropped_; });
+      changed_.wait(lock, [this] { return stopping_ || !lines_.empty() || reported_ < dropped_; });
+      if (stopping_) {
+        ended_ = true;
+        changed_.notify_all();
+        return;
+      }
       std::deque<log4cxx::spi::LoggingEventPtr> lines;
       lines.swap(lines_);
       bytes_ = 0;
@@ -112,14 +139,19 @@
   std::uint64_t dropped_ = 0;
   std::uint64_t reported_ = 0;
   bool writing_ = false;
+  bool stopping_ = false;
+  bool ended_ = false;
 };
 
 /// Returns the writer, whose thread may be blocked for ever and ends with the process.
 LineWriter& Writer()
 {
   static LineWriter* const kWriter = [] {
+    // Made before the exit handler, so that it outlives the thread.
+    (void)RootLogger();
     auto* writer = new LineWriter;
     std::thread([writer] { writer->Run(); }).detach();
+    (void)std::atexit([] { Writer().Stop(kExitWait); });
     return writer;
   }();
   return *kWriter;
@@ -134,6 +166,7 @@
   auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
   log4cxx::BasicConfigurator::configure(appender);
   SetLogLevel(aLevel);
+  HasOutput() = true;
 }
 
 void SetLogLevel(const std::string& aLevel)
@@ -144,7 +177,7 @@
 void Log(LogLevel aLevel, std::string_view aPart, const std::string& aMessage)
 {
   const auto level = ToLog4cxx(aLevel);
-  if (RootLogger()->isEnabledFor(level)) {
+  if (HasOutput() && RootLogger()->isEnabledFor(level)) {
     Writer().Add(level, std::string(aPart) + ": " + aMessage);
   }
 }
