--- a/review/stand-ins/stand_ins.h
+++ b/review/stand-ins/stand_ins.h
@@ -825,21 +825,31 @@
       reports_.join();
     }
   }
-  int Report(const std::string& aState)
+  /// Sends a status report; its answer's status, 0 without one. A late one reaches the daemon aLateMs after its time.
+  int Report(const std::string& aState, int aLateMs = 0)
+  {
+    const int sequence = ++sequence_;
+    const std::string bytes = ReportBytes(aState, sequence);
+    SleepMs(aLateMs);
+    const int status = Request(machine_.Reports(), bytes, 1000).status;
+    if (aLateMs > 0 || aState != "ready") {
+      Log("%s: report %d, %s, %d ms late, is answered %d", id_.c_str(), sequence, aState.c_str(), aLateMs, status);
+    }
+    return status;
+  }
+
+private:
+  std::string ReportBytes(const std::string& aState, int aSequence) const
   {
     const std::string body = "{\"service\":\"" + machine_.Service() + "\",\"address\":\"" + machine_.App().Text() +
                              "\",\"zone\":\"" + machine_.Zone() + "\",\"version\":\"v1\",\"slots\":" +
                              std::to_string(slots.load()) + ",\"state\":\"" + aState +
-                             "\",\"cold_remaining_ms\":0,\"seq\":" + std::to_string(++sequence_) +
+                             "\",\"cold_remaining_ms\":0,\"seq\":" + std::to_string(aSequence) +
                              ",\"born\":" + std::to_string(born_) + "}";
-    return Request(machine_.Reports(),
-                   "PUT /v1/instances/" + id_ + " HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
-                   "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
-                   1000)
-      .status;
+    return "PUT /v1/instances/" + id_ + " HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
+           "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
 
-private:
   void ReportAll()
   {
     int wait = 0;
@@ -929,7 +939,7 @@
   const Machine& machine_;
   std::string id_;
   long long born_;
-  int sequence_ = 0;
+  std::atomic<int> sequence_ = 0;
   std::unique_ptr<Listener> listener_;
   std::atomic<bool> reporting_ = false;
   std::thread reports_;
