--- a/review/stand-ins/stand_ins.hh
+++ b/review/stand-ins/stand_ins.hh
@@ -855,6 +855,15 @@
       reports_.join();
     }
   }
+  /// Sends DELETE, as an endpoint does before it exits.
+  int Leave()
+  {
+    return Request(machine_.Reports(),
+                   "DELETE /v1/instances/" + id_ +
+                     " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+                   1000)
+      .status;
+  }
   /// Sends a status report; its answer's status, 0 without one. A late one reaches the daemon
   /// aLateMs after its time.
   int Report(const std::string& aState, int aLateMs = 0)
