--- a/review/stand-ins/stand_ins.hh
+++ b/review/stand-ins/stand_ins.hh
@@ -855,6 +855,25 @@
       reports_.join();
     }
   }
+  /// Another writer's report under this endpoint's id: zone, version and cold_remaining_ms are missing, and the service
+  /// is another one.
+  int ReportOdd(const std::string& aService, int aSequence)
+  {
+    const std::string body = "{\"service\":\"" + aService + "\",\"address\":\"" +
+                             machine_.App().Text() +
+                             "\",\"slots\":" + std::to_string(slots.load()) +
+                             ",\"state\":\"ready\",\"seq\":" + std::to_string(aSequence) +
+                             ",\"born\":" + std::to_string(born_) + "}";
+    const int status = Request(machine_.Reports(),
+                               "PUT /v1/instances/" + id_ +
+                                 " HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
+                                 "Connection: close\r\nContent-Length: " +
+                                 std::to_string(body.size()) + "\r\n\r\n" + body,
+                               1000)
+                         .status;
+    Log("%s: an odd report is answered %d: %s", id_.c_str(), status, body.c_str());
+    return status;
+  }
   /// Sends DELETE, as an endpoint does before it exits.
   int Leave()
   {
