--- a/review/stand-ins/stand_ins.hh
+++ b/review/stand-ins/stand_ins.hh
@@ -887,6 +887,7 @@
   /// aLateMs after its time.
   int Report(const std::string& aState, int aLateMs = 0)
   {
+    leaving_ = leaving_ || aState == "draining";
     const int sequence = ++sequence_;
     const std::string bytes = ReportBytes(aState, sequence);
     SleepMs(aLateMs);
@@ -944,7 +945,10 @@
       }
       const std::string path = request.Word(1);
       if (path == "/healthz") {
-        Send(aFd, "200 OK", "Instance-Id: " + id_ + "\r\n", "");
+        Send(aFd,
+             leaving_ ? "503 Service Unavailable" : "200 OK",
+             "Instance-Id: " + id_ + "\r\n",
+             "");
         continue;
       }
       const std::string requestId = request.Field("request-id");
@@ -1010,6 +1014,7 @@
   std::string id_;
   long long born_;
   std::atomic<int> sequence_ = 0;
+  std::atomic<bool> leaving_ = false;
   std::unique_ptr<Listener> listener_;
   std::atomic<bool> reporting_ = false;
   std::thread reports_;
