Read the log anew after it is restored from an older copy

Cause: an offset is valid only until the log is restored, after which offsets are given out again. OperatorConfigSource read on from its offset of before; when as many records had been written again as were lost, the log took that offset, and the newest record stood in front of it. The daemon's log shows no failed read and no record after version 15. The member stream wrote the daemon's address once per process, and a starting daemon took the end of the restored log for a proof of the newest version.

Change: each result of LogPort carries the epoch of its response (LogEpoch). A reader whose read comes from another epoch reads the newest record of each key again. Log reports carry the epoch to members that do not read; each puts its address again, spread over 4 s. A starting daemon awaits its floor, for 2 s at most, where the log was ever restored. Event log.restored, metric log_epoch. Why it works: no decision relies on an offset, an end or a write of another epoch any more.

--- a/packages/ctl/tests/FakeLog.h
+++ b/packages/ctl/tests/FakeLog.h
@@ -24,8 +24,8 @@
     LostBefore,
   };
 
-  model::Result<model::LogOffset, runtime::LogError> Append(std::string_view,
-                                                            std::string_view aBytes) override
+  model::Result<runtime::LogPosition, runtime::LogError> Append(std::string_view,
+                                                                std::string_view aBytes) override
   {
     if (beforeAppend_) {
       std::exchange(beforeAppend_, nullptr)();
@@ -44,7 +44,7 @@
     if (fault != Fault::None) {
       return runtime::LogError{ runtime::LogErrorKind::OutcomeUnknown, "no response" };
     }
-    return model::LogOffset(records_.size() - 1);
+    return runtime::LogPosition{ {}, model::LogOffset(records_.size() - 1) };
   }
 
   model::Result<runtime::LogBatch, runtime::LogError> Read(std::string_view,
@@ -66,9 +66,9 @@
     return batch;
   }
 
-  model::Result<model::LogOffset, runtime::LogError> Put(std::string_view,
-                                                         std::string_view,
-                                                         std::string_view) override
+  model::Result<runtime::LogPosition, runtime::LogError> Put(std::string_view,
+                                                             std::string_view,
+                                                             std::string_view) override
   {
     return runtime::LogError{ runtime::LogErrorKind::Unavailable, "no streams with keys" };
   }
--- a/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
@@ -197,8 +197,11 @@
   void Do(const decisions::StopReading& aAction);
   void Do(const decisions::ReadLogTail& aAction);
   void Do(const decisions::AppendCheckpoint& aAction);
+  void Do(const decisions::LogEpochRaised& aAction);
 
   void ReadLogIfDue();
+  /// Takes in the epoch of a response of the log; nothing without a response.
+  void NoteLogEpoch(std::optional<model::LogEpoch> aEpoch);
   void Publish();
   [[nodiscard]] model::ConfigVersion EnforcedVersion() const noexcept;
 
--- a/packages/daemon/include/hemlockproxy/daemon/MemberStream.h
+++ b/packages/daemon/include/hemlockproxy/daemon/MemberStream.h
@@ -27,6 +27,10 @@
   void Refresh() noexcept { wantsRead_ = true; }
   /// A peer is known: a read that has not begun is not needed.
   void PeerKnown() noexcept;
+  /// A higher epoch of the log is known. An address that was put in an earlier one may be missing
+  /// and is put again, after a random delay that keeps the daemons of a fleet from writing at the
+  /// same moment.
+  void RaiseEpoch(model::LogEpoch aEpoch, model::TimePoint aNow, model::RandomSource& aRandom);
   /// Returns the operation that is due, if any; at most one is in flight.
   [[nodiscard]] std::optional<LogCommand> Next(model::TimePoint aNow);
   void NotSubmitted() noexcept { inFlight_ = false; }
@@ -37,7 +41,7 @@
     model::TimePoint aNow,
     model::RandomSource& aRandom);
   /// Takes in the result of putting the own address.
-  void Finish(const model::Result<model::LogOffset, runtime::LogError>& aResult,
+  void Finish(const model::Result<runtime::LogPosition, runtime::LogError>& aResult,
               model::TimePoint aNow,
               model::RandomSource& aRandom);
 
@@ -57,6 +61,10 @@
   std::chrono::milliseconds readInterval_;
   model::TimePoint readNotBefore_{};
   model::TimePoint putNotBefore_{};
+  /// The highest epoch of the log that is known.
+  model::LogEpoch epoch_;
+  /// The epoch in which the own address was put last.
+  std::optional<model::LogEpoch> putIn_;
 };
 
 } // namespace hemlockproxy::daemon
--- a/packages/daemon/include/hemlockproxy/daemon/OperatorConfigSource.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OperatorConfigSource.h
@@ -21,7 +21,8 @@
 /// Reads the configurations that the platform's operator writes, each complete with its version.
 ///
 /// The log keeps the newest one for ever, and the platform accepts only valid ones with rising
-/// versions, so that there is nothing to replay and no checkpoint to write.
+/// versions, so that there is nothing to replay and no checkpoint to write. After a restore of the
+/// log the newest one is read again; an older version than the one read before has no effect.
 class OperatorConfigSource final : public ConfigSource
 {
 public:
@@ -66,6 +67,8 @@
   /// Whether next_ is known; if not, the newest record of each key is read.
   bool positioned_ = false;
   model::LogOffset next_;
+  /// The epoch of next_.
+  model::LogEpoch epoch_;
   /// The newest configuration read.
   model::ConfigurationPtr newest_;
   model::ConfigVersion reported_;
--- a/packages/daemon/include/hemlockproxy/daemon/PlatformThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/PlatformThread.h
@@ -64,7 +64,7 @@
 struct LogAppendResult
 {
   LogTicket ticket_ = 0;
-  model::Result<model::LogOffset, runtime::LogError> result_;
+  model::Result<runtime::LogPosition, runtime::LogError> result_;
 };
 
 using LogCompletion = std::variant<LogReadResult, LogAppendResult>;
--- a/packages/daemon/src/ClaimService.cpp
+++ b/packages/daemon/src/ClaimService.cpp
@@ -255,7 +255,7 @@
     return true;
   }
   if (aResult.result_) {
-    Feed(*shard, decisions::AppendSucceeded{ *aResult.result_ });
+    Feed(*shard, decisions::AppendSucceeded{ aResult.result_->offset_ });
     return true;
   }
   const auto kind = aResult.result_.Error().kind_;
--- a/packages/daemon/src/ControlActions.cpp
+++ b/packages/daemon/src/ControlActions.cpp
@@ -206,6 +206,17 @@
   ReadLogIfDue();
 }
 
+void ControlThread::Do(const decisions::LogEpochRaised& aAction)
+{
+  if (aAction.previous_) {
+    events_.Add(runtime::LogEvent::LogRestored,
+                "epoch " + std::to_string(aAction.epoch_.Value()) + ", was " +
+                  std::to_string(aAction.previous_->Value()));
+  }
+  memberStream_.RaiseEpoch(aAction.epoch_, std::chrono::steady_clock::now(), random_);
+  dirty_ = true;
+}
+
 void ControlThread::Do(const decisions::AppendCheckpoint& /*aAction*/)
 {
   if (auto checkpoint = source_->MakeCheckpoint()) {
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -89,6 +89,13 @@
   return options;
 }
 
+/// Returns the epoch of the log's response; nothing without a response.
+template <typename T>
+std::optional<model::LogEpoch> EpochOf(const model::Result<T, runtime::LogError>& aResult)
+{
+  return aResult ? std::optional(aResult->epoch_) : aResult.Error().epoch_;
+}
+
 std::unique_ptr<ConfigSource> MakeSource(const Settings& aSettings,
                                          const Adapters& aAdapters,
                                          runtime::EventRing& aEvents)
@@ -302,8 +309,16 @@
   Membership(decisions::LocalEndpointChanged{ local_ });
 }
 
+void ControlThread::NoteLogEpoch(std::optional<model::LogEpoch> aEpoch)
+{
+  if (aEpoch) {
+    Distribution(decisions::LogEpochSeen{ *aEpoch });
+  }
+}
+
 void ControlThread::On(LogReadResult& aResult)
 {
+  NoteLogEpoch(EpochOf(aResult.result_));
   if (claims_ && claims_->Finish(aResult)) {
     return;
   }
@@ -323,6 +338,7 @@
 
 void ControlThread::On(LogAppendResult& aResult)
 {
+  NoteLogEpoch(EpochOf(aResult.result_));
   if (claims_ && claims_->Finish(aResult)) {
     return;
   }
@@ -506,6 +522,7 @@
   metrics_.Set(Gauge::ConfigVersion, EnforcedVersion().Value());
   metrics_.Set(Gauge::ConfigHeld, distribution_.HeldVersion().Value());
   metrics_.Set(Gauge::LogReader, distribution_.IsLogReader() ? 1 : 0);
+  metrics_.Set(Gauge::LogEpoch, distribution_.LogEpoch().value_or(model::LogEpoch()).Value());
   metrics_.Set(Gauge::Ready, ready_ ? 1 : 0);
   status->ready_ = ready_ && routes_ != nullptr;
   status->leaving_ = leaving_;
--- a/packages/daemon/src/MemberStream.cpp
+++ b/packages/daemon/src/MemberStream.cpp
@@ -19,6 +19,9 @@
 /// The mean wait after a failure. A fleet of 950 that returns from an outage of the log then makes
 /// fewer calls in a second than the log takes.
 constexpr std::chrono::milliseconds kRetryInterval{ 1000 };
+/// The longest delay before the own address is put again after a restore of the log. A fleet of 950
+/// then makes fewer calls in a second than the log takes.
+constexpr std::chrono::milliseconds kMostRewriteDelay{ 4000 };
 
 model::Duration Between(std::chrono::milliseconds aLeast,
                         std::chrono::milliseconds aMost,
@@ -50,6 +53,21 @@
   readInterval_ = kFirstInterval;
 }
 
+void MemberStream::RaiseEpoch(model::LogEpoch aEpoch,
+                              model::TimePoint aNow,
+                              model::RandomSource& aRandom)
+{
+  if (aEpoch <= epoch_) {
+    return;
+  }
+  epoch_ = aEpoch;
+  from_.reset();
+  if (!wantsPut_ && putIn_ < epoch_) {
+    wantsPut_ = true;
+    putNotBefore_ = aNow + Between(std::chrono::milliseconds(0), kMostRewriteDelay, aRandom);
+  }
+}
+
 std::optional<LogCommand> MemberStream::Next(model::TimePoint aNow)
 {
   if (inFlight_) {
@@ -98,15 +116,18 @@
   return found;
 }
 
-void MemberStream::Finish(const model::Result<model::LogOffset, runtime::LogError>& aResult,
+void MemberStream::Finish(const model::Result<runtime::LogPosition, runtime::LogError>& aResult,
                           model::TimePoint aNow,
                           model::RandomSource& aRandom)
 {
   inFlight_ = false;
-  wantsPut_ = !aResult.Ok();
-  putNotBefore_ = aNow + Spread(kRetryInterval, aRandom);
   if (aResult) {
-    const std::uint64_t own = aResult->Value();
+    putIn_ = aResult->epoch_;
+  }
+  wantsPut_ = !aResult.Ok() || *putIn_ < epoch_;
+  putNotBefore_ = aNow + Spread(kRetryInterval, aRandom);
+  if (!wantsPut_) {
+    const std::uint64_t own = aResult->offset_.Value();
     from_ = model::LogOffset(own - std::min(own, kRecordsBefore));
     readNotBefore_ = aNow + Between(std::chrono::milliseconds(0), kMostFirstWait, aRandom);
   }
--- a/packages/daemon/src/OperatorConfigSource.cpp
+++ b/packages/daemon/src/OperatorConfigSource.cpp
@@ -68,7 +68,13 @@
     return { decisions::LogReadFailed{} };
   }
   pace_.Succeeded(aResult->next_);
+  if (positioned_ && aResult->epoch_ != epoch_) {
+    // The records that were written since the restore may stand before the offset of this read.
+    positioned_ = false;
+    return {};
+  }
   positioned_ = true;
+  epoch_ = aResult->epoch_;
   next_ = aResult->resume_;
   // Versions rise with the offsets, so that only the last usable record needs decoding.
   const auto& records = aResult->records_;
--- a/packages/daemon/tests/MemberStreamTest.cpp
+++ b/packages/daemon/tests/MemberStreamTest.cpp
@@ -14,6 +14,7 @@
 
 constexpr LogTicket kRead = 1;
 constexpr LogTicket kPut = 2;
+constexpr model::LogEpoch kEpoch{ 4 };
 
 model::TimePoint At(std::int64_t aMs)
 {
@@ -53,7 +54,8 @@
     const model::LogOffset offset(log.size());
     log.push_back(RecordOf(offset.Value(), i));
     numbers[AddressOf(i)] = i;
-    streams[i].Finish(model::Result<model::LogOffset, runtime::LogError>(offset), At(0), random);
+    streams[i].Finish(
+      model::Result<runtime::LogPosition, runtime::LogError>({ kEpoch, offset }), At(0), random);
   }
   std::vector<std::size_t> group(aDaemons);
   std::iota(group.begin(), group.end(), 0);
@@ -100,12 +102,25 @@
     CHECK_TRUE(found != nullptr);
     return *found;
   }
-  void Put(std::uint64_t aOffset)
+  void Put(std::uint64_t aOffset, model::LogEpoch aEpoch = kEpoch)
   {
     (void)Next<LogPutCommand>();
-    stream_.Finish(model::Result<model::LogOffset, runtime::LogError>(model::LogOffset(aOffset)),
-                   At(now_),
-                   random_);
+    stream_.Finish(
+      model::Result<runtime::LogPosition, runtime::LogError>({ aEpoch, model::LogOffset(aOffset) }),
+      At(now_),
+      random_);
+  }
+  void RaiseEpoch(model::LogEpoch aEpoch)
+  {
+    stream_.RaiseEpoch(aEpoch, At(now_), random_);
+  }
+  /// Returns whether the own address is put within a time.
+  bool PutsWithin(milliseconds aTime)
+  {
+    const auto command = stream_.Next(At(now_ + aTime.count()));
+    const bool puts = command && std::holds_alternative<LogPutCommand>(*command);
+    stream_.NotSubmitted();
+    return puts;
   }
   std::size_t Answer(const model::Result<runtime::LogBatch, runtime::LogError>& aResult)
   {
@@ -188,7 +203,7 @@
 {
   (void)Next<LogPutCommand>();
   const runtime::LogError outage{ runtime::LogErrorKind::Unavailable, "outage", {}, {} };
-  stream_.Finish(model::Result<model::LogOffset, runtime::LogError>(outage), At(now_), random_);
+  stream_.Finish(model::Result<runtime::LogPosition, runtime::LogError>(outage), At(now_), random_);
   (void)Next<LogNewestCommand>();
   (void)Answer(outage);
   CHECK_FALSE(stream_.Next(At(now_)).has_value());
@@ -198,8 +213,65 @@
   LONGS_EQUAL(0, Next<LogReadCommand>().from_.Value());
 }
 
+// Guards against a daemon that nobody finds after a restore of the log, since its address was
+// written after the copy was made.
+TEST(MemberStream, PutsTheOwnAddressAgainAfterARestore)
+{
+  stream_.PeerKnown();
+  Put(500);
+  RaiseEpoch(kEpoch);
+  CHECK_FALSE(PutsWithin(milliseconds(60'000)));
+  RaiseEpoch(kEpoch.Next());
+  CHECK_TRUE(PutsWithin(milliseconds(4000)));
+  now_ += 4000;
+  // The response to a put of before the restore does not count.
+  Put(501, kEpoch);
+  CHECK_TRUE(PutsWithin(milliseconds(1500)));
+  now_ += 1500;
+  Put(502, kEpoch.Next());
+  CHECK_FALSE(PutsWithin(milliseconds(60'000)));
+}
+
+// Guards against a read from the offset at which the own address stood before the restore.
+TEST(MemberStream, ReadsPagesWhenTheLogWasRestoredBeforeItsFirstRead)
+{
+  Put(500);
+  RaiseEpoch(kEpoch.Next());
+  now_ += 4000;
+  Put(3, kEpoch.Next());
+  now_ += 400;
+  LONGS_EQUAL(0, Next<LogReadCommand>().from_.Value());
+}
+
 TEST_GROUP(MemberStreamFleet){};
 
+// Guards against a whole fleet that writes at the same moment after a restore.
+TEST(MemberStreamFleet, SpreadsItsWritesAfterARestore)
+{
+  constexpr std::size_t kDaemons = 950;
+  constexpr std::int64_t kWritesPerSecond = 400;
+  model::RandomSource random{ 1 };
+  std::map<std::int64_t, std::int64_t> writes;
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    MemberStream stream(kRead, kPut, AddressOf(i));
+    stream.PeerKnown();
+    (void)stream.Next(At(0));
+    stream.Finish(
+      model::Result<runtime::LogPosition, runtime::LogError>({ kEpoch, model::LogOffset(i) }),
+      At(0),
+      random);
+    stream.RaiseEpoch(kEpoch.Next(), At(10'000), random);
+    std::int64_t now = 10'000;
+    while (!stream.Next(At(now))) {
+      now += 100;
+    }
+    ++writes[now / 1000];
+  }
+  for (const auto& [second, count] : writes) {
+    CHECK_TRUE(count <= kWritesPerSecond);
+  }
+}
+
 // Guards against a cost per daemon that grows with the fleet.
 TEST(MemberStreamFleet, NeedsTwoCallsPerDaemonAtEachSize)
 {
--- a/packages/daemon/tests/OperatorConfigSourceTest.cpp
+++ b/packages/daemon/tests/OperatorConfigSourceTest.cpp
@@ -28,9 +28,12 @@
   return std::optional(std::move(configuration));
 }
 
-runtime::LogBatch Batch(std::uint64_t aFirst, const std::vector<std::string>& aTexts)
+runtime::LogBatch Batch(std::uint64_t aFirst,
+                        const std::vector<std::string>& aTexts,
+                        model::LogEpoch aEpoch = model::kFirstLogEpoch)
 {
   runtime::LogBatch batch;
+  batch.epoch_ = aEpoch;
   for (const std::string& text : aTexts) {
     batch.records_.push_back({ model::LogOffset(aFirst++), {}, text, "config" });
   }
@@ -220,3 +223,61 @@
   LONGS_EQUAL(3, Accepted(Finish(behind)));
   (void)Next<LogNewestCommand>();
 }
+
+// Guards against a version that never comes into force: records that the operator wrote after a
+// restore of the log stand before the offset of the reader, which is valid again.
+TEST(OperatorConfigSource, ReadsTheNewestAgainInAnotherEpochOfTheLog)
+{
+  const model::LogEpoch restored = model::kFirstLogEpoch.Next();
+  source_.Start(nullptr);
+  (void)Next<LogNewestCommand>();
+  LONGS_EQUAL(15, Accepted(Finish(Batch(0, { "10", "12", "15" }))));
+  now_ = 1000;
+  LONGS_EQUAL(3, Next<LogReadCommand>().from_.Value());
+  // The end of the log is not known, whatever this read found.
+  const auto events = Finish(Batch(3, {}, restored));
+  LONGS_EQUAL(-1, EndKnownAt(events));
+  LONGS_EQUAL(0, events.size());
+  (void)Next<LogNewestCommand>();
+  LONGS_EQUAL(19, Accepted(Finish(Batch(2, { "19" }, restored))));
+  now_ = 2000;
+  LONGS_EQUAL(3, Next<LogReadCommand>().from_.Value());
+  LONGS_EQUAL(20, Accepted(Finish(Batch(3, { "20" }, restored))));
+}
+
+// Guards against a version that falls to the one of the older copy.
+TEST(OperatorConfigSource, KeepsItsVersionWhileARestoredLogHasAnOlderOne)
+{
+  const model::LogEpoch restored = model::kFirstLogEpoch.Next();
+  source_.Start(nullptr);
+  (void)Next<LogNewestCommand>();
+  LONGS_EQUAL(15, Accepted(Finish(Batch(0, { "15" }))));
+  now_ = 1000;
+  (void)Next<LogReadCommand>();
+  (void)Finish(Batch(1, {}, restored));
+  (void)Next<LogNewestCommand>();
+  LONGS_EQUAL(0, Accepted(Finish(Batch(0, { "10" }, restored))));
+  now_ = 2000;
+  (void)Next<LogReadCommand>();
+  LONGS_EQUAL(0, Accepted(Finish(Batch(1, { "15" }, restored))));
+  now_ = 3000;
+  (void)Next<LogReadCommand>();
+  LONGS_EQUAL(16, Accepted(Finish(Batch(2, { "16" }, restored))));
+}
+
+// Guards against an offset of before two restores in a row that is taken for one of now.
+TEST(OperatorConfigSource, NoticesEachOfTwoRestores)
+{
+  model::LogEpoch epoch = model::kFirstLogEpoch;
+  source_.Start(nullptr);
+  (void)Next<LogNewestCommand>();
+  (void)Finish(Batch(0, { "1" }));
+  for (int i = 0; i < 2; ++i) {
+    now_ += 1000;
+    (void)Next<LogReadCommand>();
+    epoch = epoch.Next();
+    (void)Finish(Batch(1, {}, epoch));
+    (void)Next<LogNewestCommand>();
+    (void)Finish(Batch(0, { "1" }, epoch));
+  }
+}
--- a/packages/daemon/tests/QuarantineReturnTest.cpp
+++ b/packages/daemon/tests/QuarantineReturnTest.cpp
@@ -19,8 +19,9 @@
 class NoLog final : public runtime::LogPort
 {
 public:
-  [[nodiscard]] model::Result<model::LogOffset, runtime::LogError> Append(std::string_view,
-                                                                          std::string_view) override
+  [[nodiscard]] model::Result<runtime::LogPosition, runtime::LogError> Append(
+    std::string_view,
+    std::string_view) override
   {
     return runtime::LogError{};
   }
@@ -31,9 +32,8 @@
   {
     return runtime::LogError{};
   }
-  [[nodiscard]] model::Result<model::LogOffset, runtime::LogError> Put(std::string_view,
-                                                                       std::string_view,
-                                                                       std::string_view) override
+  [[nodiscard]] model::Result<runtime::LogPosition, runtime::LogError>
+  Put(std::string_view, std::string_view, std::string_view) override
   {
     return runtime::LogError{};
   }
--- a/packages/decisions/include/hemlockproxy/decisions/Distribution.h
+++ b/packages/decisions/include/hemlockproxy/decisions/Distribution.h
@@ -51,6 +51,9 @@
   /// into force.
   std::chrono::milliseconds acknowledgementLimit_{ 8000 };
   std::chrono::milliseconds logRetry_{ 5000 };
+  /// A starting daemon waits for so long for its peers to report its floor where the log has ever
+  /// been restored: its newest version may be older than the one in force.
+  std::chrono::milliseconds restoredLogWait_{ 2000 };
   /// Interval at which a log reader reports to its domain.
   std::chrono::milliseconds reportInterval_{ 1300 };
   /// A log reader that has not reported for this time is replaced, by the member of the next rank
@@ -145,6 +148,11 @@
 /// The log could not be read.
 struct LogReadFailed
 {};
+/// The log has responded in an epoch.
+struct LogEpochSeen
+{
+  model::LogEpoch epoch_;
+};
 struct LogReportReceived
 {
   LogReport report_;
@@ -180,6 +188,7 @@
                                        LogVersionAccepted,
                                        LogTailReached,
                                        LogReadFailed,
+                                       LogEpochSeen,
                                        LogReportReceived,
                                        LogRecordsRead,
                                        CheckpointRead,
@@ -241,6 +250,13 @@
 {};
 struct AppendCheckpoint
 {};
+/// A higher epoch of the log is known: what this daemon wrote in an earlier one may be missing.
+struct LogEpochRaised
+{
+  model::LogEpoch epoch_;
+  /// The epoch that was known before, if any.
+  std::optional<model::LogEpoch> previous_;
+};
 /// @}
 
 using DistributionAction = std::variant<SendNotice,
@@ -254,7 +270,8 @@
                                         StartReading,
                                         StopReading,
                                         ReadLogTail,
-                                        AppendCheckpoint>;
+                                        AppendCheckpoint,
+                                        LogEpochRaised>;
 using DistributionActions = std::vector<DistributionAction>;
 
 /// Brings every daemon to the newest version of the configuration and never back.
@@ -286,6 +303,8 @@
   [[nodiscard]] bool Ready() const noexcept;
   /// Returns when the version in force was last known to be the newest one of the log.
   [[nodiscard]] std::optional<model::TimePoint> CurrentAsOf() const noexcept;
+  /// Returns the highest epoch of the log that is known; nothing before the first response.
+  [[nodiscard]] std::optional<model::LogEpoch> LogEpoch() const noexcept;
   /// Returns whether this daemon reads the log for its domain.
   [[nodiscard]] bool IsLogReader() const noexcept;
 
--- a/packages/decisions/include/hemlockproxy/decisions/DistributionMessages.h
+++ b/packages/decisions/include/hemlockproxy/decisions/DistributionMessages.h
@@ -40,6 +40,8 @@
   model::ConfigVersion version_;
   /// How long ago that was the newest version of the log; nothing while the log cannot be read.
   std::optional<std::chrono::milliseconds> age_;
+  /// The highest epoch of the log that the sender knows.
+  std::optional<model::LogEpoch> epoch_;
 };
 
 /// Asks a peer for the highest version that it holds.
--- a/packages/decisions/src/Distribution.cpp
+++ b/packages/decisions/src/Distribution.cpp
@@ -123,6 +123,11 @@
   return engine_->CurrentAsOf();
 }
 
+std::optional<model::LogEpoch> Distribution::LogEpoch() const noexcept
+{
+  return engine_->LogEpoch();
+}
+
 bool Distribution::IsLogReader() const noexcept
 {
   return engine_->IsLogReader();
--- a/packages/decisions/src/impl/DistributionEngine.cpp
+++ b/packages/decisions/src/impl/DistributionEngine.cpp
@@ -22,6 +22,7 @@
     started_ = true;
     logAllowed_ = now_ + options_.startLogDelay_ + Jitter(options_.startLogDelay_);
     nextTailRead_ = logAllowed_;
+    restoredLogTrusted_ = now_ + options_.restoredLogWait_;
     lastCheckpoint_ = now_;
   }
   std::visit([this](const auto& aOne) { On(aOne); }, aEvent);
@@ -123,7 +124,8 @@
 
 bool DistributionEngine::StartRuleMet() const
 {
-  return (tailReached_ || (floorSettled_ && heldFromPeer_)) && HeldVersion() >= floor_;
+  const bool fromLog = tailReached_ && IsTailTrusted();
+  return (fromLog || (floorSettled_ && heldFromPeer_)) && HeldVersion() >= floor_;
 }
 
 bool DistributionEngine::IsOwnPeer(const model::DaemonId& aId) const
--- a/packages/decisions/src/impl/DistributionEngine.h
+++ b/packages/decisions/src/impl/DistributionEngine.h
@@ -25,6 +25,7 @@
   [[nodiscard]] model::ConfigVersion HeldVersion() const noexcept;
   [[nodiscard]] bool Ready() const noexcept { return ready_; }
   [[nodiscard]] bool IsLogReader() const noexcept { return reading_; }
+  [[nodiscard]] std::optional<model::LogEpoch> LogEpoch() const noexcept { return logEpoch_; }
   [[nodiscard]] std::optional<model::TimePoint> CurrentAsOf() const noexcept
   {
     return currentAsOf_;
@@ -54,6 +55,7 @@
   void On(const LogVersionAccepted& aEvent);
   void On(const LogTailReached& aEvent);
   void On(const LogReadFailed& aEvent);
+  void On(const LogEpochSeen& aEvent);
   void On(const LogReportReceived& aEvent);
   void On(const LogRecordsRead& aEvent);
   void On(const CheckpointRead& aEvent);
@@ -83,6 +85,9 @@
   // Log.
   void UpdateRole();
   void TickReport();
+  void NoteLogEpoch(model::LogEpoch aEpoch);
+  /// Returns whether the end of the log proves what the newest version is.
+  [[nodiscard]] bool IsTailTrusted() const;
   /// Reports the age of the last read of the log's end; nothing means that the log cannot be read.
   void SendReports(std::optional<model::Duration> aAge);
   /// Sends a report to the members that get none from the readers themselves.
@@ -136,6 +141,9 @@
   /// The newest version of the log as far as known.
   Newest newest_;
   std::optional<model::TimePoint> currentAsOf_;
+  std::optional<model::LogEpoch> logEpoch_;
+  /// From then on a starting daemon no longer waits for its floor.
+  model::TimePoint restoredLogTrusted_;
   model::TimePoint logAllowed_;
   model::TimePoint nextTailRead_;
   std::size_t recordsSince_ = 0;
--- a/packages/decisions/src/impl/DistributionLog.cpp
+++ b/packages/decisions/src/impl/DistributionLog.cpp
@@ -38,7 +38,7 @@
 void DistributionEngine::SendReports(std::optional<model::Duration> aAge)
 {
   nextReport_ = now_ + options_.reportInterval_;
-  LogReport report{ options_.id_, HeldVersion(), std::nullopt };
+  LogReport report{ options_.id_, HeldVersion(), std::nullopt, logEpoch_ };
   if (aAge) {
     report.age_ = std::chrono::ceil<std::chrono::milliseconds>(*aAge);
   }
@@ -118,9 +118,31 @@
   }
 }
 
+void DistributionEngine::On(const LogEpochSeen& aEvent)
+{
+  NoteLogEpoch(aEvent.epoch_);
+}
+
+void DistributionEngine::NoteLogEpoch(model::LogEpoch aEpoch)
+{
+  if (logEpoch_ && aEpoch <= *logEpoch_) {
+    return;
+  }
+  out_.emplace_back(LogEpochRaised{ aEpoch, std::exchange(logEpoch_, aEpoch) });
+}
+
+bool DistributionEngine::IsTailTrusted() const
+{
+  const bool everRestored = logEpoch_ && *logEpoch_ > model::kFirstLogEpoch;
+  return !everRestored || floorSettled_ || now_ >= restoredLogTrusted_;
+}
+
 void DistributionEngine::On(const LogReportReceived& aEvent)
 {
   const LogReport& report = aEvent.report_;
+  if (report.epoch_) {
+    NoteLogEpoch(*report.epoch_);
+  }
   roster_.Reported(now_, report.from_, report.age_.has_value());
   NoteHolder(report.from_, report.version_);
   Want(report.from_, report.version_, options_.repairDelay_);
--- a/packages/decisions/tests/LogTakeoverTest.cpp
+++ b/packages/decisions/tests/LogTakeoverTest.cpp
@@ -200,7 +200,7 @@
   }
   LogReportReceived ReportOf(std::size_t aRank, std::optional<std::chrono::milliseconds> aAge)
   {
-    return LogReportReceived{ LogReport{ ranking_[aRank], ConfigVersion(1), aAge } };
+    return LogReportReceived{ LogReport{ ranking_[aRank], ConfigVersion(1), aAge, std::nullopt } };
   }
   std::vector<model::DaemonId> ranking_;
   std::optional<Distribution> distribution_;
--- a/packages/decisions/tests/MeshDriver.h
+++ b/packages/decisions/tests/MeshDriver.h
@@ -355,6 +355,7 @@
               : Do(aNode, SyncFailed{ aAction.to_ });
     });
   }
+  void Execute(std::size_t /*aNode*/, const LogEpochRaised& /*aAction*/) {}
   void Execute(std::size_t aNode, const SendLogReport& aAction)
   {
     SendUnreliably(
--- a/packages/model/include/hemlockproxy/model/Ids.h
+++ b/packages/model/include/hemlockproxy/model/Ids.h
@@ -22,5 +22,11 @@
 using ConfigVersion = StrongNumber<struct ConfigVersionTag>;
 /// The position of a record in a log stream; the first record of a new stream has offset 0.
 using LogOffset = StrongNumber<struct LogOffsetTag>;
+/// Rises each time the log is restored from an older copy. Offsets behind that copy are given out
+/// again, so that offsets of different epochs are not comparable.
+using LogEpoch = StrongNumber<struct LogEpochTag>;
+
+/// The epoch of a log that was never restored; a log that does not tell its epoch has epoch 0.
+inline constexpr LogEpoch kFirstLogEpoch{ 1 };
 
 } // namespace hemlockproxy::model
--- a/packages/runtime/include/hemlockproxy/runtime/Log.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Log.h
@@ -42,6 +42,15 @@
   model::LogOffset first_;
   /// With Trimmed: the offset that the next append gets.
   model::LogOffset next_;
+  /// The epoch in which the log responded; nothing without a response.
+  std::optional<model::LogEpoch> epoch_;
+};
+
+/// Where a record stands in a stream.
+struct LogPosition
+{
+  model::LogEpoch epoch_;
+  model::LogOffset offset_;
 };
 
 struct LogRecord
@@ -65,19 +74,24 @@
   std::size_t skipped_ = 0;
   /// With a page of newest records: its last key, when there are more behind it.
   std::optional<std::string> moreAfter_;
+  /// The epoch of all offsets of the batch.
+  model::LogEpoch epoch_;
 };
 
 /// The platform's append-only log service. A stream either has keys, and then the newest record of
 /// each key is retained for ever, or it has none, and its records expire.
+///
+/// The log may be restored from an older copy, after which records that it acknowledged are missing
+/// and their offsets are given out again. Each result tells the epoch that it belongs to; a reader
+/// must not go on from an offset of another epoch.
 class LogPort
 {
 public:
   virtual ~LogPort() = default;
 
-  /// Appends a record; returns its offset.
-  [[nodiscard]] virtual model::Result<model::LogOffset, LogError> Append(
-    std::string_view aStream,
-    std::string_view aBytes) = 0;
+  /// Appends a record; returns its position.
+  [[nodiscard]] virtual model::Result<LogPosition, LogError> Append(std::string_view aStream,
+                                                                    std::string_view aBytes) = 0;
 
   /// Reads at most aMax records from an offset on; waits for the first one for aWait at most.
   [[nodiscard]] virtual model::Result<LogBatch, LogError> Read(std::string_view aStream,
@@ -85,14 +99,15 @@
                                                                std::chrono::milliseconds aWait,
                                                                std::size_t aMax) = 0;
 
-  /// Appends a record that replaces the earlier ones of its key; returns its offset. Empty bytes
+  /// Appends a record that replaces the earlier ones of its key; returns its position. Empty bytes
   /// remove the key.
-  [[nodiscard]] virtual model::Result<model::LogOffset, LogError> Put(std::string_view aStream,
-                                                                      std::string_view aKey,
-                                                                      std::string_view aBytes) = 0;
+  [[nodiscard]] virtual model::Result<LogPosition, LogError> Put(std::string_view aStream,
+                                                                 std::string_view aKey,
+                                                                 std::string_view aBytes) = 0;
 
   /// Returns the newest record of each key. It is no snapshot: records that are appended meanwhile
-  /// may be missing, so a reader goes on at next_.
+  /// may be missing, so a reader goes on at next_. Fails with Unavailable when the log was restored
+  /// meanwhile.
   [[nodiscard]] virtual model::Result<LogBatch, LogError> ReadNewest(std::string_view aStream) = 0;
 
   /// Returns one page of the newest records, with the keys that follow aAfter in their order.
--- a/packages/runtime/include/hemlockproxy/runtime/LogEvent.h
+++ b/packages/runtime/include/hemlockproxy/runtime/LogEvent.h
@@ -50,6 +50,7 @@
   ConfigPeerStateContradicts,
   LogAvailable,
   LogUnavailable,
+  LogRestored,
   // The process itself.
   DaemonStarted,
   DaemonReloaded,
--- a/packages/runtime/include/hemlockproxy/runtime/Metrics.h
+++ b/packages/runtime/include/hemlockproxy/runtime/Metrics.h
@@ -59,6 +59,7 @@
   /// The highest version that this daemon holds, enforced or not.
   ConfigHeld,
   LogReader,
+  LogEpoch,
   ConfigUnconfirmed,
   PeersSilent,
   OwnerRunning,
--- a/packages/runtime/src/LogEvent.cpp
+++ b/packages/runtime/src/LogEvent.cpp
@@ -80,6 +80,7 @@
     kDetail },
   { LogEvent::LogAvailable, "log.available", LogClass::Change, kDetail },
   { LogEvent::LogUnavailable, "log.unavailable", LogClass::Change, kDetail },
+  { LogEvent::LogRestored, "log.restored", LogClass::Change, kDetail },
   { LogEvent::DaemonStarted, "daemon.started", LogClass::Change, kDetail },
   { LogEvent::DaemonReloaded, "daemon.reloaded", LogClass::Change, kDetail },
   { LogEvent::DaemonStopping, "daemon.stopping", LogClass::Change, kDetail },
--- a/packages/runtime/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -56,6 +56,7 @@
   { "config_enforced_at_seconds", "Unix time at which the version in effect was enforced." },
   { "config_held_version", "Highest configuration version held, in effect or not." },
   { "log_reader", "1 when this daemon reads the log for its failure domain." },
+  { "log_epoch", "Epoch of the log; rises when the log is restored from an older copy." },
   { "config_unconfirmed_milliseconds",
     "Time since the version in effect was last known to be the newest one." },
   { "peers_silent", "Other daemons that do not answer this entry." },
--- a/packages/wire/gen/membership_types.cpp
+++ b/packages/wire/gen/membership_types.cpp
@@ -2494,6 +2494,11 @@
   this->age_ms = val;
 __isset.age_ms = true;
 }
+
+void LogReportT::__set_log_epoch(const int64_t val) {
+  this->log_epoch = val;
+__isset.log_epoch = true;
+}
 std::ostream& operator<<(std::ostream& out, const LogReportT& obj)
 {
   obj.printTo(out);
@@ -2538,6 +2543,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->log_epoch);
+          this->__isset.log_epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2564,6 +2577,11 @@
     xfer += oprot->writeI32(this->age_ms);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.log_epoch) {
+    xfer += oprot->writeFieldBegin("log_epoch", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->log_epoch);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2573,28 +2591,33 @@
   using ::std::swap;
   swap(a.version, b.version);
   swap(a.age_ms, b.age_ms);
+  swap(a.log_epoch, b.log_epoch);
   swap(a.__isset, b.__isset);
 }
 
 LogReportT::LogReportT(const LogReportT& other100) noexcept {
   version = other100.version;
   age_ms = other100.age_ms;
+  log_epoch = other100.log_epoch;
   __isset = other100.__isset;
 }
 LogReportT::LogReportT(LogReportT&& other101) noexcept {
   version = other101.version;
   age_ms = other101.age_ms;
+  log_epoch = other101.log_epoch;
   __isset = other101.__isset;
 }
 LogReportT& LogReportT::operator=(const LogReportT& other102) noexcept {
   version = other102.version;
   age_ms = other102.age_ms;
+  log_epoch = other102.log_epoch;
   __isset = other102.__isset;
   return *this;
 }
 LogReportT& LogReportT::operator=(LogReportT&& other103) noexcept {
   version = other103.version;
   age_ms = other103.age_ms;
+  log_epoch = other103.log_epoch;
   __isset = other103.__isset;
   return *this;
 }
@@ -2603,6 +2626,7 @@
   out << "LogReportT(";
   out << "version=" << to_string(version);
   out << ", " << "age_ms="; (__isset.age_ms ? (out << to_string(age_ms)) : (out << "<null>"));
+  out << ", " << "log_epoch="; (__isset.log_epoch ? (out << to_string(log_epoch)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/membership_types.h
+++ b/packages/wire/gen/membership_types.h
@@ -1031,9 +1031,10 @@
 std::ostream& operator<<(std::ostream& out, const NoticeAckT& obj);
 
 typedef struct _LogReportT__isset {
-  _LogReportT__isset() : version(false), age_ms(false) {}
+  _LogReportT__isset() : version(false), age_ms(false), log_epoch(false) {}
   bool version :1;
   bool age_ms :1;
+  bool log_epoch :1;
 } _LogReportT__isset;
 
 class LogReportT : public virtual ::apache::thrift::TBase {
@@ -1045,12 +1046,14 @@
   LogReportT& operator=(LogReportT&&) noexcept;
   LogReportT() noexcept
              : version(0),
-               age_ms(0) {
+               age_ms(0),
+               log_epoch(0) {
   }
 
   virtual ~LogReportT() noexcept;
   int64_t version;
   int32_t age_ms;
+  int64_t log_epoch;
 
   _LogReportT__isset __isset;
 
@@ -1058,6 +1061,8 @@
 
   void __set_age_ms(const int32_t val);
 
+  void __set_log_epoch(const int64_t val);
+
   bool operator == (const LogReportT & rhs) const
   {
     if (!(version == rhs.version))
@@ -1066,6 +1071,10 @@
       return false;
     else if (__isset.age_ms && !(age_ms == rhs.age_ms))
       return false;
+    if (__isset.log_epoch != rhs.__isset.log_epoch)
+      return false;
+    else if (__isset.log_epoch && !(log_epoch == rhs.log_epoch))
+      return false;
     return true;
   }
   bool operator != (const LogReportT &rhs) const {
--- a/packages/wire/idl/membership.thrift
+++ b/packages/wire/idl/membership.thrift
@@ -107,6 +107,7 @@
   1: i64 version
   // Absent while the sender cannot read the log.
   2: optional i32 age_ms
+  3: optional i64 log_epoch
 }
 
 union BodyT {
--- a/packages/wire/src/DatagramCodec.cpp
+++ b/packages/wire/src/DatagramCodec.cpp
@@ -216,6 +216,9 @@
   if (aBody.__isset.age_ms) {
     out.age_ = std::chrono::milliseconds(aReader.Number(aBody.age_ms));
   }
+  if (aBody.__isset.log_epoch) {
+    out.epoch_ = model::LogEpoch(aReader.Number(aBody.log_epoch));
+  }
   return out;
 }
 
@@ -307,6 +310,9 @@
   if (aReport.age_) {
     report.__set_age_ms(static_cast<std::int32_t>(aReport.age_->count()));
   }
+  if (aReport.epoch_) {
+    report.__set_log_epoch(Signed(aReport.epoch_->Value()));
+  }
   gen::DatagramT out;
   WriteHeader(out, aReport.from_, aEnforced, aStamp);
   out.body.__set_log_report(report);
--- a/packages/wire/tests/MembershipCodecTest.cpp
+++ b/packages/wire/tests/MembershipCodecTest.cpp
@@ -68,12 +68,15 @@
   for (const std::optional<milliseconds> age : { std::optional(milliseconds(0)),
                                                  std::optional(milliseconds(1350)),
                                                  std::optional<milliseconds>() }) {
-    const LogReport report{ Record(2)->id_, model::ConfigVersion(64), age };
+    const std::optional<model::LogEpoch> epoch =
+      age ? std::optional(model::LogEpoch(3)) : std::nullopt;
+    const LogReport report{ Record(2)->id_, model::ConfigVersion(64), age, epoch };
     const auto decoded =
       wire::DecodeDatagram(wire::EncodeLogReport(report, model::ConfigVersion(62), { 1, 2 }));
     CHECK_TRUE(decoded.Ok());
     const auto& out = std::get<LogReport>(decoded->message_);
     CHECK_TRUE(out.from_ == report.from_ && out.version_ == report.version_ && out.age_ == age);
+    CHECK_TRUE(out.epoch_ == epoch);
     CHECK_TRUE(decoded->version_ == model::ConfigVersion(62));
   }
 }
