Keep an acknowledged drain while no reports come

Cause: after 4.5 s without a report BackendRegistry dropped the backend server together with the acknowledged drain and the sequence of its last report. A late report of the same start then counted as news, although its sequence was lower.

Change: whatever ends the current backend server - silence, displacement, its own departure - is remembered with its start, its sequence and whether it had been told that its drain was heard, which is final. A departure that comes after silence binds the silent start, too.

Evidence: four tests of BackendRegistry failed before (DrainingBindsAfterReportsHaveStopped, DrainingBindsAfterAnotherOneHasTakenThePlace, AfterSilenceOnlyALaterReportCounts, ADepartureAfterSilenceBindsTheStart) and pass.

--- a/packages/decisions/include/hemlockproxy/decisions/BackendRegistry.h
+++ b/packages/decisions/include/hemlockproxy/decisions/BackendRegistry.h
@@ -47,8 +47,9 @@
 
 /// Follows the reports of the backend server on this daemon's instance.
 ///
-/// A backend server that drains or has left gets no new work again, whatever arrives late. Only a
-/// later start of it, or another backend server at the same address, takes its place.
+/// A backend server that drains or has left gets no new work again, whatever arrives late and
+/// however long its reports stop. Only a later start of it, or another backend server at the same
+/// address, takes its place.
 ///
 /// A daemon that restarts beside a backend server does not know whether it has left meanwhile, and
 /// its first report may be a late one. Such a backend server gets no work until it is confirmed: by
@@ -101,6 +102,8 @@
 private:
   enum class Finality : std::uint8_t
   {
+    /// Its reports have stopped; a later one brings it back.
+    Silent,
     /// A later start, or another backend server, took its place; it may go on reporting.
     Displaced,
     /// It said so, and that was acknowledged.
@@ -114,6 +117,8 @@
     std::optional<model::WallTime> startedAt_;
     model::TimePoint at_;
     Finality finality_ = Finality::Left;
+    /// The last report that was taken in.
+    std::uint64_t sequence_ = 0;
   };
   /// Another backend server that reported while the current one was there.
   struct Candidate
@@ -131,10 +136,9 @@
   /// Returns whether reports at the usual pace show that the backend server is there.
   [[nodiscard]] bool PaceConfirms(model::TimePoint aNow) const noexcept;
   [[nodiscard]] bool HasDeparted(model::TimePoint aNow, const model::BackendReport& aReport) const;
-  void RememberDeparture(model::TimePoint aNow,
-                         const model::BackendId& aId,
-                         std::optional<model::WallTime> aStartedAt,
-                         Finality aFinality);
+  void RememberDeparture(Departed aDeparted);
+  /// The current backend server is no longer there. An acknowledged drain stays final.
+  void ForgetCurrent(model::TimePoint aNow, Finality aFinality);
   /// Returns whether a report of another backend server takes the place of the current one.
   [[nodiscard]] bool MayDisplace(model::TimePoint aNow, const model::BackendReport& aReport);
 
--- a/packages/decisions/src/BackendRegistry.cpp
+++ b/packages/decisions/src/BackendRegistry.cpp
@@ -53,7 +53,7 @@
   if (ordered && sameStart) {
     next.draining_ = next.draining_ || current_->draining_;
   } else if (ordered && current_) {
-    RememberDeparture(aNow, current_->id_, current_->startedAt_, Finality::Displaced);
+    ForgetCurrent(aNow, Finality::Displaced);
   }
   const bool wasConfirmed = confirmed_;
   if (!sameStart) {
@@ -76,11 +76,13 @@
 bool BackendRegistry::Leave(TimePoint aNow, const BackendId& aId)
 {
   if (!current_ || current_->id_ != aId) {
-    RememberDeparture(aNow, aId, std::nullopt, Finality::Left);
+    for (Departed& one : departed_) {
+      one.finality_ = one.id_ == aId ? Finality::Left : one.finality_;
+    }
+    RememberDeparture({ aId, std::nullopt, aNow });
     return false;
   }
-  RememberDeparture(aNow, aId, current_->startedAt_, Finality::Left);
-  current_.reset();
+  ForgetCurrent(aNow, Finality::Left);
   return true;
 }
 
@@ -107,10 +109,20 @@
   if (!current_ || aNow < renewed_ + options_.interval_ * options_.missedReports_) {
     return false;
   }
-  current_.reset();
+  ForgetCurrent(aNow, Finality::Silent);
   return true;
 }
 
+void BackendRegistry::ForgetCurrent(TimePoint aNow, Finality aFinality)
+{
+  RememberDeparture({ current_->id_,
+                      current_->startedAt_,
+                      aNow,
+                      current_->draining_ ? Finality::Left : aFinality,
+                      current_->sequence_ });
+  current_.reset();
+}
+
 bool BackendRegistry::MayDisplace(TimePoint aNow, const BackendReport& aReport)
 {
   if (aNow - renewed_ >= options_.interval_) {
@@ -130,7 +142,7 @@
 bool BackendRegistry::Restore(TimePoint aNow, const std::vector<DepartureRecord>& aRecords)
 {
   for (const DepartureRecord& record : aRecords) {
-    RememberDeparture(aNow - record.age_, record.id_, record.startedAt_, Finality::Left);
+    RememberDeparture({ record.id_, record.startedAt_, aNow - record.age_ });
   }
   const bool dropped = current_ && HasDeparted(aNow, *current_);
   if (dropped) {
@@ -159,25 +171,26 @@
     }
     // An earlier start has ended before, so that its reports are on their way no longer than this;
     // what still comes is a start after the clock was set back.
-    const bool final = aOne.finality_ == Finality::Left && aReport.startedAt_ == aOne.startedAt_;
-    return final || aNow < aOne.at_ + kLatestReport;
+    if (const bool sameStart = aReport.startedAt_ == aOne.startedAt_;
+        sameStart && aOne.finality_ != Finality::Displaced) {
+      return aOne.finality_ == Finality::Left || aReport.sequence_ <= aOne.sequence_;
+    }
+    return aNow < aOne.at_ + kLatestReport;
   });
 }
 
-void BackendRegistry::RememberDeparture(TimePoint aNow,
-                                        const BackendId& aId,
-                                        std::optional<model::WallTime> aStartedAt,
-                                        Finality aFinality)
+void BackendRegistry::RememberDeparture(Departed aDeparted)
 {
   const auto same = std::find_if(departed_.begin(), departed_.end(), [&](const Departed& aOne) {
-    return aOne.id_ == aId && aOne.startedAt_ == aStartedAt;
+    return aOne.id_ == aDeparted.id_ && aOne.startedAt_ == aDeparted.startedAt_;
   });
   if (same != departed_.end()) {
-    same->at_ = std::max(same->at_, aNow);
-    same->finality_ = std::max(same->finality_, aFinality);
+    same->at_ = std::max(same->at_, aDeparted.at_);
+    same->finality_ = std::max(same->finality_, aDeparted.finality_);
+    same->sequence_ = std::max(same->sequence_, aDeparted.sequence_);
     return;
   }
-  departed_.push_back(Departed{ aId, aStartedAt, aNow, aFinality });
+  departed_.push_back(std::move(aDeparted));
   if (departed_.size() > kMostDeparted) {
     departed_.pop_front();
   }
--- a/packages/decisions/tests/BackendRegistryTest.cpp
+++ b/packages/decisions/tests/BackendRegistryTest.cpp
@@ -75,6 +75,50 @@
   CHECK_FALSE(registry_.TakesWork());
 }
 
+// Guards against an acknowledged drain that is forgotten while no reports come, and a late report of
+// before it that makes the backend server take work again.
+TEST(BackendRegistry, DrainingBindsAfterReportsHaveStopped)
+{
+  (void)registry_.Report(At(1000), Draining(Report(5)));
+  CHECK_TRUE(registry_.Tick(At(4000)));
+  CHECK_TRUE(registry_.Report(At(5500), Report(4)) == ReportUse::Late);
+  CHECK_TRUE(registry_.Report(At(7000), Draining(Report(6))) == ReportUse::Late);
+  CHECK_TRUE(registry_.Report(At(60'000), Report(7)) == ReportUse::Late);
+  CHECK_FALSE(registry_.Current().has_value());
+  CHECK_TRUE(registry_.Report(At(61'000), StartedAt(Report(1), 2000)) == ReportUse::Changed);
+  CHECK_TRUE(registry_.TakesWork());
+}
+
+// Guards against an acknowledged drain that ends when another backend server takes the place.
+TEST(BackendRegistry, DrainingBindsAfterAnotherOneHasTakenThePlace)
+{
+  (void)registry_.Report(At(1000), Draining(Report(5)));
+  CHECK_TRUE(registry_.Report(At(2500), StartedAt(Report(1, "bitacora-2"), 2000)) ==
+             ReportUse::Changed);
+  CHECK_TRUE(registry_.Tick(At(20'000)));
+  CHECK_TRUE(registry_.Report(At(21'000), Report(6)) == ReportUse::Late);
+}
+
+// Guards against a late report that brings a silent backend server back with an older state, and
+// against one that reports again and gets no work.
+TEST(BackendRegistry, AfterSilenceOnlyALaterReportCounts)
+{
+  (void)registry_.Report(At(1000), Report(5));
+  CHECK_TRUE(registry_.Tick(At(4000)));
+  CHECK_TRUE(registry_.Report(At(5000), Report(4)) == ReportUse::Late);
+  CHECK_TRUE(registry_.Report(At(6000), Report(6)) == ReportUse::Changed);
+  CHECK_TRUE(registry_.TakesWork());
+}
+
+// Guards against a departure that binds for some seconds only, since no reports had come before it.
+TEST(BackendRegistry, ADepartureAfterSilenceBindsTheStart)
+{
+  (void)registry_.Report(At(1000), Report(5));
+  CHECK_TRUE(registry_.Tick(At(4000)));
+  CHECK_FALSE(registry_.Leave(At(5000), model::BackendId("bitacora-1")));
+  CHECK_TRUE(registry_.Report(At(60'000), Report(6)) == ReportUse::Late);
+}
+
 // Guards against a report that was on its way when its backend server left.
 TEST(BackendRegistry, ALateReportDoesNotBringBackWhatHasLeft)
 {
