Do not take peers that were restarted as well for a proof

Cause: a restarted daemon asks peers what left, and took any answer for all they know. A peer that was restarted at the same time knows nothing. After it, two equally late reports confirmed the backend server, and peers that did remember were not asked.

Change: a departure report tells for how long its sender has kept departures. Reports confirm only after a peer has answered that kept them for 10 s, as long as a report may be on its way; until then, for 10 s, peers that have not answered are asked on. Health checks confirm as before and are repeated. Why it works: what such a peer does not know of left before the reports that can still arrive were sent.

Evidence: PeersThatWereRestartedAsWellAreNoProof fails with the old condition; ADaemonAsksOnWhileOnlyRestartedPeersHaveAnswered and RepeatsAHealthCheckThatWasNotAnsweredWell need the change.

--- a/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/ControlThread.h
@@ -108,12 +108,12 @@
   {
     readQuarantine_ = std::move(aRead);
   }
-  /// Sets the receiver of what peers remember of departures from before the start; the second
-  /// argument says that they have told all. It returns false when it is busy and must not block.
-  void OnDepartures(std::function<bool(std::vector<decisions::DepartureRecord>, bool)> aReceiver)
-  {
-    onDepartures_ = std::move(aReceiver);
-  }
+  /// Receives what peers remember of departures from before the start. The second argument is set
+  /// once they have told all: for how long one of them has been keeping departures.
+  using DeparturesReceiver = std::function<bool(std::vector<decisions::DepartureRecord>,
+                                                std::optional<std::chrono::milliseconds>)>;
+  /// Sets who receives departures; it returns false when it is busy and must not block.
+  void OnDepartures(DeparturesReceiver aReceiver) { onDepartures_ = std::move(aReceiver); }
   /// Sets the receiver of what lenders of allowances grant this daemon; it must not block.
   void OnAllowanceGrant(
     std::function<void(const model::DaemonId&, decisions::AllowanceGrant)> aReceiver)
@@ -222,7 +222,7 @@
   std::unique_ptr<ClaimService> claims_;
   std::function<bool(wire::QuarantineRecords)> onQuarantine_;
   std::function<bool(QuarantineReader)> readQuarantine_;
-  std::function<bool(std::vector<decisions::DepartureRecord>, bool)> onDepartures_;
+  DeparturesReceiver onDepartures_;
   std::unique_ptr<impl::PeerMemory> peerMemory_;
   std::function<void(const model::DaemonId&, decisions::AllowanceGrant)> onGrant_;
   model::RandomSource random_;
--- a/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
+++ b/packages/daemon/include/hemlockproxy/daemon/OwnerService.h
@@ -96,9 +96,10 @@
 
   /// Sets who remembers departures; without it they end with the process.
   void SetKeepDeparture(KeepDeparture aKeep) { keepDeparture_ = std::move(aKeep); }
-  /// Takes in what peers remember of departures from before the start; aSettled says that they have
-  /// told all.
-  void RestoreDepartures(const std::vector<decisions::DepartureRecord>& aRecords, bool aSettled);
+  /// Takes in what peers remember of departures from before the start. aLongestMemory is set once
+  /// they have told all: for how long one of them has been keeping departures.
+  void RestoreDepartures(const std::vector<decisions::DepartureRecord>& aRecords,
+                         std::optional<std::chrono::milliseconds> aLongestMemory);
 
   /// Takes in a report of the backend server of this instance; its effect on new work is in force
   /// when it returns, and peers remember a departure that it tells. Returns false and changes
@@ -193,6 +194,8 @@
   bool ticking_ = false;
   /// The start of the backend server that the last health check was for.
   std::optional<std::pair<model::BackendId, model::WallTime>> checked_;
+  /// When the health check of a backend server that is not confirmed is repeated.
+  model::TimePoint nextCheck_{};
   std::atomic<bool> rejectsLateBodies_ = false;
   model::TimePoint nextPoolCheck_{};
   /// Bytes of response bodies being read into memory.
--- a/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
+++ b/packages/daemon/include/hemlockproxy/daemon/TrafficThread.h
@@ -19,11 +19,12 @@
 
 namespace hemlockproxy::daemon {
 
-/// What peers remember of departures from before the start; settled_ says that they told all.
+/// What peers remember of departures from before the start.
 struct DeparturesKnown
 {
   std::vector<decisions::DepartureRecord> records_;
-  bool settled_ = false;
+  /// Set once they have told all: for how long one of them has been keeping departures.
+  std::optional<std::chrono::milliseconds> longestMemory_;
 };
 
 /// Asks for all that is known of suspected requests.
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -214,9 +214,11 @@
     *transport_,
     IdOf(settings_),
     settings_.domain_,
+    Now(),
     [this] { return membership_.Members(); },
-    [this](std::vector<decisions::DepartureRecord> aRecords, bool aSettled) {
-      return onDepartures_(std::move(aRecords), aSettled);
+    [this](std::vector<decisions::DepartureRecord> aRecords,
+           std::optional<std::chrono::milliseconds> aLongestMemory) {
+      return onDepartures_(std::move(aRecords), aLongestMemory);
     });
   transport_->OnCall(impl::kDeparturesPath,
                      [this](const std::string& aBody) { return peerMemory_->HandleCall(aBody); });
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -253,10 +253,10 @@
       // A full ring buffer leaves the departure unremembered, like peers that are away.
       (void)(*control)->Tell(DepartureNews{ std::move(aDeparture), std::move(aDone) });
     });
-  (*control)->OnDepartures(
-    [&traffic](std::vector<decisions::DepartureRecord> aRecords, bool aSettled) {
-      return (*traffic)->Tell(DeparturesKnown{ std::move(aRecords), aSettled });
-    });
+  (*control)->OnDepartures([&traffic](std::vector<decisions::DepartureRecord> aRecords,
+                                      std::optional<std::chrono::milliseconds> aLongestMemory) {
+    return (*traffic)->Tell(DeparturesKnown{ std::move(aRecords), aLongestMemory });
+  });
   (*control)->OnAllowanceGrant(
     [&traffic](const model::DaemonId& aLender, decisions::AllowanceGrant aGrant) {
       (void)(*traffic)->Tell(AllowanceAnswer{ aLender, std::move(aGrant) });
--- a/packages/daemon/src/OwnerBackend.cpp
+++ b/packages/daemon/src/OwnerBackend.cpp
@@ -75,13 +75,13 @@
 }
 
 void OwnerService::RestoreDepartures(const std::vector<decisions::DepartureRecord>& aRecords,
-                                     bool aSettled)
+                                     std::optional<std::chrono::milliseconds> aLongestMemory)
 {
   if (registry_.Restore(std::chrono::steady_clock::now(), aRecords)) {
     BackendChanged(runtime::LogEvent::EndpointLeft);
   }
-  if (aSettled) {
-    registry_.PeersHeard();
+  if (aLongestMemory) {
+    registry_.PeersHeard(*aLongestMemory);
   }
 }
 
@@ -105,11 +105,13 @@
   const auto& content = seen_->routes_->Configuration().content_;
   const auto service = content.find(backend.service_);
   const auto start = std::pair(backend.id_, backend.startedAt_);
-  if (checked_ == start || service == content.end() ||
+  const auto now = std::chrono::steady_clock::now();
+  if ((checked_ == start && now < nextCheck_) || service == content.end() ||
       service->second->config_.healthPath_.empty()) {
     return;
   }
   checked_ = start;
+  nextCheck_ = now + std::max(options_.reportInterval_, kHealthTimeout);
   runtime::SpawnFiber([this, backend, path = service->second->config_.healthPath_] {
     auto response = runtime::Fetch(pool_,
                                    backend.address_,
@@ -117,7 +119,7 @@
                                    {},
                                    kHealthTimeout,
                                    kMostHealthBytes);
-    // Without a good answer the next report confirms.
+    // Without a good answer a report or a later check confirms.
     const bool healthy =
       response && options_.dialect_->ReadHealth(response->header_) == backend.id_;
     if (healthy && registry_.Confirm(backend.id_, backend.startedAt_)) {
--- a/packages/daemon/src/PeerMemory.cpp
+++ b/packages/daemon/src/PeerMemory.cpp
@@ -30,11 +30,13 @@
 PeerMemory::PeerMemory(ControlTransport& aTransport,
                        model::DaemonId aSelf,
                        model::FailureDomain aDomain,
+                       model::TimePoint aStart,
                        std::function<Members()> aMembers,
                        OnDepartures aOnDepartures)
   : transport_(aTransport)
   , self_(std::move(aSelf))
   , domain_(std::move(aDomain))
+  , start_(aStart)
   , members_(std::move(aMembers))
   , onDepartures_(std::move(aOnDepartures))
 {
@@ -64,13 +66,13 @@
 void PeerMemory::CallAll(const std::vector<model::Address>& aPeers,
                          const DepartureReport& aReport,
                          const std::function<void(const DepartureReport&)>& aOnAnswer,
-                         const std::function<void(std::size_t)>& aOnEnd)
+                         const std::function<void(const std::set<model::Address>&)>& aOnEnd)
 {
   if (aPeers.empty()) {
-    aOnEnd(0);
+    aOnEnd({});
     return;
   }
-  auto round = std::make_shared<Round>(Round{ aPeers.size(), 0 });
+  auto round = std::make_shared<Round>(Round{ aPeers.size(), {} });
   const std::string body = wire::EncodeDepartureReport(aReport);
   for (const model::Address& peer : aPeers) {
     runtime::SpawnFiber([this, round, peer, body, aOnAnswer, aOnEnd] {
@@ -78,7 +80,7 @@
       if (const auto known =
             answer ? wire::DecodeDepartureReport(*answer)
                    : model::Result<DepartureReport, wire::DecodeError>(wire::DecodeError{})) {
-        ++round->answered_;
+        round->answered_.insert(peer);
         aOnAnswer(*known);
       }
       if (--round->open_ == 0) {
@@ -94,7 +96,7 @@
     Holders(kOwnHolders, kHoldersElsewhere),
     { self_, { std::move(aDeparture) } },
     [](const DepartureReport&) {},
-    [done = std::move(aDone)](std::size_t) { done(); });
+    [done = std::move(aDone)](const auto&) { done(); });
 }
 
 std::optional<std::string> PeerMemory::HandleCall(const std::string& aBody)
@@ -105,32 +107,43 @@
   }
   const auto now = std::chrono::steady_clock::now();
   book_.Take(now, *report);
-  return wire::EncodeDepartureReport(book_.Of(now, report->owner_));
+  DepartureReport known = book_.Of(now, report->owner_);
+  known.memory_ = std::chrono::floor<std::chrono::milliseconds>(now - start_);
+  return wire::EncodeDepartureReport(known);
 }
 
 void PeerMemory::Tick(model::TimePoint aNow)
 {
-  if (heard_ || asking_ || aNow < nextAsk_) {
+  // Reports that arrive later than this were sent after the start.
+  const bool needed = longestMemory_ < decisions::kLatestReport &&
+                      (heard_.empty() || aNow < start_ + decisions::kLatestReport);
+  if (!needed || asking_ || aNow < nextAsk_) {
     return;
   }
-  const auto peers = Holders(kOwnHolders + kMoreAsked, kHoldersElsewhere + 1);
+  auto peers = Holders(kOwnHolders + kMoreAsked, kHoldersElsewhere + 1);
+  std::erase_if(peers, [this](const model::Address& aPeer) { return heard_.contains(aPeer); });
   if (peers.empty()) {
     return;
   }
   asking_ = true;
   lost_ = false;
+  longestMemoryOfRound_ = {};
   CallAll(
     peers,
     { self_, {} },
     [this](const DepartureReport& aKnown) {
       if (aKnown.owner_ == self_) {
-        lost_ = !onDepartures_(aKnown.records_, false) || lost_;
+        lost_ = !onDepartures_(aKnown.records_, std::nullopt) || lost_;
+        longestMemoryOfRound_ = std::max(longestMemoryOfRound_, aKnown.memory_);
       }
     },
-    [this](std::size_t aAnswered) {
+    [this](const std::set<model::Address>& aAnswered) {
       asking_ = false;
       nextAsk_ = std::chrono::steady_clock::now() + kAskAgain;
-      heard_ = aAnswered > 0 && !lost_ && onDepartures_({}, true);
+      if (!aAnswered.empty() && !lost_ && onDepartures_({}, longestMemoryOfRound_)) {
+        heard_.insert(aAnswered.begin(), aAnswered.end());
+        longestMemory_ = std::max(longestMemory_, longestMemoryOfRound_);
+      }
     });
 }
 
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -281,7 +281,7 @@
       if (const auto* report = std::get_if<model::BackendReport>(&message)) {
         (void)owner_.Report(*report);
       } else if (const auto* known = std::get_if<DeparturesKnown>(&message)) {
-        owner_.RestoreDepartures(known->records_, known->settled_);
+        owner_.RestoreDepartures(known->records_, known->longestMemory_);
       } else if (const auto* question = std::get_if<QuarantineQuestion>(&message)) {
         question->reader_(owner_.QuarantineRecords());
       } else if (const auto* answer = std::get_if<AllowanceAnswer>(&message)) {
--- a/packages/daemon/src/impl/PeerMemory.h
+++ b/packages/daemon/src/impl/PeerMemory.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,13 +21,16 @@
 public:
   using Members = std::vector<std::shared_ptr<const model::MemberRecord>>;
   /// Receives what a peer knows of this daemon's departures; the last call of a round says that
-  /// peers have told all they know. Returns false when it is busy; must not block.
-  using OnDepartures = std::function<bool(std::vector<decisions::DepartureRecord>, bool aSettled)>;
+  /// peers have told all they know, and for how long one of them has been keeping departures.
+  /// Returns false when it is busy; must not block.
+  using OnDepartures = std::function<bool(std::vector<decisions::DepartureRecord>,
+                                          std::optional<std::chrono::milliseconds> aLongestMemory)>;
 
-  /// The transport must outlive the object.
+  /// The transport must outlive the object. Departures are kept from aStart on.
   PeerMemory(ControlTransport& aTransport,
              model::DaemonId aSelf,
              model::FailureDomain aDomain,
+             model::TimePoint aStart,
              std::function<Members()> aMembers,
              OnDepartures aOnDepartures);
 
@@ -35,31 +39,36 @@
   void Tell(decisions::DepartureRecord aDeparture, std::function<void()> aDone);
   /// Handles a report or question of a peer; nothing when it is malformed.
   [[nodiscard]] std::optional<std::string> HandleCall(const std::string& aBody);
-  /// Asks peers after the start, until one has answered.
+  /// Asks peers after the start, until one has answered that kept departures while the reports that
+  /// arrive now were sent. Each is asked until it has answered.
   void Tick(model::TimePoint aNow);
 
 private:
   struct Round
   {
     std::size_t open_ = 0;
-    std::size_t answered_ = 0;
+    std::set<model::Address> answered_;
   };
 
   [[nodiscard]] std::vector<model::Address> Holders(std::size_t aOwn, std::size_t aOther) const;
   void CallAll(const std::vector<model::Address>& aPeers,
                const decisions::DepartureReport& aReport,
                const std::function<void(const decisions::DepartureReport&)>& aOnAnswer,
-               const std::function<void(std::size_t aAnswered)>& aOnEnd);
+               const std::function<void(const std::set<model::Address>& aAnswered)>& aOnEnd);
 
   ControlTransport& transport_;
   model::DaemonId self_;
   model::FailureDomain domain_;
+  model::TimePoint start_;
   std::function<Members()> members_;
   OnDepartures onDepartures_;
   decisions::DepartureBook book_;
-  bool heard_ = false;
+  /// Peers that have told what they know.
+  std::set<model::Address> heard_;
+  std::chrono::milliseconds longestMemory_{ 0 };
   /// Records that could not be handed over; the round does not count then.
   bool lost_ = false;
+  std::chrono::milliseconds longestMemoryOfRound_{ 0 };
   bool asking_ = false;
   model::TimePoint nextAsk_{};
 };
--- a/packages/daemon/tests/PeerMemoryTest.cpp
+++ b/packages/daemon/tests/PeerMemoryTest.cpp
@@ -20,6 +20,9 @@
 namespace {
 
 constexpr milliseconds kSettle{ 100 };
+constexpr milliseconds kAskAgain{ 500 };
+/// Longer than a report is on its way.
+constexpr milliseconds kLongUp{ 60'000 };
 
 model::Address FreeAddress(const runtime::IoContextPtr& aIo)
 {
@@ -34,16 +37,19 @@
 public:
   Node(const runtime::IoContextPtr& aIo,
        const model::Address& aAddress,
-       const PeerMemory::Members& aMembers)
+       const PeerMemory::Members& aMembers,
+       milliseconds aUptime = {})
     : transport_(*ControlTransport::Create(aIo, aAddress, metrics_, impl::MakeControlBounds({})))
     , memory_(
         *transport_,
         model::DaemonId(ToString(aAddress)),
         model::FailureDomain("leith"),
+        std::chrono::steady_clock::now() - aUptime,
         [&aMembers] { return aMembers; },
-        [this](std::vector<decisions::DepartureRecord> aRecords, bool aSettled) {
+        [this](std::vector<decisions::DepartureRecord> aRecords,
+               std::optional<milliseconds> aLongestMemory) {
           restored_.insert(restored_.end(), aRecords.begin(), aRecords.end());
-          settled_ = settled_ || aSettled;
+          longestMemory_ = std::max(longestMemory_, aLongestMemory);
           return true;
         })
   {
@@ -66,7 +72,7 @@
     boost::this_fiber::sleep_for(kSettle);
   }
   std::vector<decisions::DepartureRecord> restored_;
-  bool settled_ = false;
+  std::optional<milliseconds> longestMemory_;
 
 private:
   runtime::Metrics metrics_;
@@ -100,7 +106,7 @@
     const auto second = FreeAddress(aIo);
     List(first);
     List(second);
-    Node peer(aIo, second, members_);
+    Node peer(aIo, second, members_, kLongUp);
     const decisions::DepartureRecord left{ model::BackendId("i-7f"),
                                            model::WallTime(std::chrono::hours(1)),
                                            {} };
@@ -113,13 +119,46 @@
     }
     Node restarted(aIo, first, members_);
     restarted.Ask();
-    CHECK_TRUE(restarted.settled_);
+    CHECK_TRUE(restarted.longestMemory_ >= kLongUp);
     LONGS_EQUAL(1, restarted.restored_.size());
     CHECK_TRUE(restarted.restored_[0].id_ == left.id_);
     CHECK_TRUE(restarted.restored_[0].startedAt_ == left.startedAt_);
     // Nothing of it concerns the peer.
     peer.Ask();
-    CHECK_TRUE(peer.settled_ && peer.restored_.empty());
+    CHECK_TRUE(peer.longestMemory_.has_value() && peer.restored_.empty());
+  });
+}
+
+// Guards against a departure that only a peer remembers which is met after others: the answer of a
+// peer that was restarted as well ended the questions.
+TEST(PeerMemory, ADaemonAsksOnWhileOnlyRestartedPeersHaveAnswered)
+{
+  RunInLoop([this](const runtime::IoContextPtr& aIo) {
+    const auto first = FreeAddress(aIo);
+    const auto second = FreeAddress(aIo);
+    const auto third = FreeAddress(aIo);
+    List(first);
+    List(second);
+    Node alsoRestarted(aIo, second, members_);
+    Node holder(aIo, third, members_, kLongUp);
+    {
+      PeerMemory::Members before;
+      std::swap(before, members_);
+      List(third);
+      Node killed(aIo, first, members_);
+      killed.Memory().Tell({ model::BackendId("i-7f"), std::nullopt, {} }, [] {});
+      boost::this_fiber::sleep_for(kSettle);
+      std::swap(before, members_);
+    }
+    Node restarted(aIo, first, members_);
+    restarted.Ask();
+    CHECK_TRUE(restarted.longestMemory_ < kLongUp);
+    CHECK_TRUE(restarted.restored_.empty());
+    List(third);
+    boost::this_fiber::sleep_for(kAskAgain);
+    restarted.Ask();
+    CHECK_TRUE(restarted.longestMemory_ >= kLongUp);
+    LONGS_EQUAL(1, restarted.restored_.size());
   });
 }
 
@@ -137,6 +176,6 @@
     alone.Ask();
     boost::this_fiber::sleep_for(milliseconds(600));
     CHECK_TRUE(done);
-    CHECK_FALSE(alone.settled_);
+    CHECK_FALSE(alone.longestMemory_.has_value());
   });
 }
--- a/packages/daemon/tests/QuarantineReturnTest.cpp
+++ b/packages/daemon/tests/QuarantineReturnTest.cpp
@@ -102,7 +102,7 @@
       aReader(known);
       return true;
     });
-    thread_->OnDepartures([](const auto&, bool) { return true; });
+    thread_->OnDepartures([](const auto&, const auto&) { return true; });
     thread_->OnQuarantine([this](const wire::QuarantineRecords& aRecords) {
       publishedBefore_ = publishedBefore_ || PublishesOwn();
       received_ += static_cast<int>(aRecords.size());
--- a/packages/daemon/tests/RestartedOwnerTest.cpp
+++ b/packages/daemon/tests/RestartedOwnerTest.cpp
@@ -108,6 +108,24 @@
   });
 }
 
+// Guards against a backend server that stands idle for long after a restart of all daemons, because
+// its first health check was rejected.
+TEST(RestartedOwner, RepeatsAHealthCheckThatWasNotAnsweredWell)
+{
+  runtime::RunInLoop([this](const runtime::IoContextPtr& aIo) {
+    CountingServer backend(aIo);
+    const auto owner = Start(aIo, backend.Address());
+    CHECK_TRUE(published_ && published_->draining_);
+    backend.SetField("Test-Backend", "i-7f");
+    for (int i = 0; i < 30 && published_->draining_; ++i) {
+      boost::this_fiber::sleep_for(kSettle);
+      owner->Tick();
+    }
+    CHECK_FALSE(published_->draining_);
+    LONGS_EQUAL(2, backend.Requests());
+  });
+}
+
 // Guards against a healthy backend server that waits for its next report after each restart.
 TEST(RestartedOwner, GivesWorkToABackendServerThatAnswersAHealthCheck)
 {
@@ -164,7 +182,8 @@
     const auto owner = Start(aIo, backend.Address());
     CHECK_TRUE(published_ && !published_->draining_);
     owner->RestoreDepartures(
-      { { model::BackendId("i-7f"), model::WallTime(std::chrono::minutes(1)), {} } }, true);
+      { { model::BackendId("i-7f"), model::WallTime(std::chrono::minutes(1)), {} } },
+      decisions::kLatestReport);
     CHECK_FALSE(published_.has_value());
   });
 }
--- a/packages/decisions/include/hemlockproxy/decisions/BackendRegistry.h
+++ b/packages/decisions/include/hemlockproxy/decisions/BackendRegistry.h
@@ -54,7 +54,8 @@
 /// A daemon that restarts beside a backend server does not know whether it has left meanwhile, and
 /// its first report may be a late one. Such a backend server gets no work until it is confirmed: by
 /// a health check, or by a report that follows at the pace of reports. Both count only after peers
-/// have told what left, or could not be reached in time; without peers, reports count that were
+/// have told what left, or could not be reached in time. Reports count only once a peer has
+/// answered that would know of a departure behind a late report; without one, those count that were
 /// sent after the start of the daemon.
 class BackendRegistry
 {
@@ -83,8 +84,13 @@
   /// Takes in what peers know of earlier departures; returns whether the current backend server is
   /// one of them and was dropped.
   bool Restore(model::TimePoint aNow, const std::vector<DepartureRecord>& aRecords);
-  /// Peers have told all that they know of earlier departures.
-  void PeersHeard() noexcept { peersHeard_ = true; }
+  /// Peers have told all that they know of earlier departures; the one with the longest memory has
+  /// kept departures for aMemory.
+  void PeersHeard(std::chrono::milliseconds aMemory) noexcept
+  {
+    peersHeard_ = true;
+    peersRemember_ = peersRemember_ || aMemory >= kLatestReport;
+  }
   /// Forgets a backend server whose reports have stopped; returns whether it did.
   bool Tick(model::TimePoint aNow);
 
@@ -146,6 +152,8 @@
   std::optional<model::BackendReport> current_;
   bool confirmed_ = true;
   bool peersHeard_ = false;
+  /// Whether a peer has answered that kept departures while the reports that come now were sent.
+  bool peersRemember_ = false;
   /// When the first report of the current start came.
   model::TimePoint known_{};
   model::TimePoint renewed_{};
--- a/packages/decisions/include/hemlockproxy/decisions/DepartureBook.h
+++ b/packages/decisions/include/hemlockproxy/decisions/DepartureBook.h
@@ -24,11 +24,16 @@
   friend bool operator==(const DepartureRecord&, const DepartureRecord&) = default;
 };
 
+/// A report is on its way for no longer than this.
+inline constexpr std::chrono::seconds kLatestReport{ 10 };
+
 /// The departures of one daemon's backend servers.
 struct DepartureReport
 {
   model::DaemonId owner_;
   std::vector<DepartureRecord> records_;
+  /// How long the sender has been keeping departures. What left before that it can't know.
+  std::chrono::milliseconds memory_{ 0 };
 
   friend bool operator==(const DepartureReport&, const DepartureReport&) = default;
 };
--- a/packages/decisions/src/BackendRegistry.cpp
+++ b/packages/decisions/src/BackendRegistry.cpp
@@ -13,9 +13,6 @@
 /// Starts that are remembered after they have left; one instance rarely sees more in the time in
 /// which reports arrive late.
 constexpr std::size_t kMostDeparted = 16;
-/// For this long a report may be on its way. A backend server that left unknown to the daemon can
-/// only be told from a later start under the same id by the time that has passed.
-constexpr std::chrono::seconds kLatestReport{ 10 };
 /// A backend server that started this long before the daemon may have left before the daemon
 /// started; the processes of an instance that starts are up within less.
 constexpr std::chrono::seconds kStartMargin{ 3 };
@@ -155,8 +152,8 @@
 {
   // Reports that are equally late come at the pace of reports, too. What arrives this long after
   // the start of the daemon was sent after it, and so after all departures that the daemon's former
-  // process has acknowledged.
-  return peersHeard_ || options_.daemonStart_ == model::WallTime() ||
+  // process has acknowledged. Peers that were restarted as well have forgotten these.
+  return peersRemember_ || options_.daemonStart_ == model::WallTime() ||
          aNow >= options_.start_ + kLatestReport;
 }
 
--- a/packages/decisions/tests/BackendRegistryTest.cpp
+++ b/packages/decisions/tests/BackendRegistryTest.cpp
@@ -75,8 +75,8 @@
   CHECK_FALSE(registry_.TakesWork());
 }
 
-// Guards against an acknowledged drain that is forgotten while no reports come, and a late report of
-// before it that makes the backend server take work again.
+// Guards against an acknowledged drain that is forgotten while no reports come, and a late report
+// of before it that makes the backend server take work again.
 TEST(BackendRegistry, DrainingBindsAfterReportsHaveStopped)
 {
   (void)registry_.Report(At(1000), Draining(Report(5)));
@@ -317,11 +317,27 @@
 {
   (void)registry_.Report(At(0), Report(7));
   CHECK_FALSE(registry_.Restore(At(500), {}));
-  registry_.PeersHeard();
+  registry_.PeersHeard(kLatestReport);
   CHECK_TRUE(registry_.Report(At(1000), Report(8)) == ReportUse::Changed);
   CHECK_TRUE(registry_.TakesWork());
 }
 
+// Guards against a departure that all daemons have forgotten, since they were restarted at once:
+// the answers of such peers prove nothing, and reports that are equally late come at the pace of
+// reports.
+TEST(BackendRegistryAfterARestart, PeersThatWereRestartedAsWellAreNoProof)
+{
+  registry_.PeersHeard(milliseconds(400));
+  CHECK_TRUE(registry_.MayConfirm(At(500)));
+  (void)registry_.Report(At(1000), Report(7));
+  (void)registry_.Report(At(2500), Report(8));
+  CHECK_FALSE(registry_.TakesWork());
+  // Another peer has been there all the while.
+  registry_.PeersHeard(milliseconds(12'000));
+  CHECK_TRUE(registry_.Report(At(4000), Report(9)) == ReportUse::Changed);
+  CHECK_TRUE(registry_.TakesWork());
+}
+
 // Guards against a departure that was acknowledged before the restart and does not outlive it,
 // whatever reports and health checks say.
 TEST(BackendRegistryAfterARestart, WhatPeersKnowToHaveLeftStaysAway)
@@ -329,7 +345,7 @@
   (void)registry_.Report(At(0), Report(7));
   CHECK_TRUE(
     registry_.Restore(At(500), { { Report(7).id_, Report(7).startedAt_, milliseconds(900) } }));
-  registry_.PeersHeard();
+  registry_.PeersHeard(kLatestReport);
   CHECK_FALSE(registry_.Current().has_value());
   CHECK_TRUE(registry_.Report(At(1000), Report(8)) == ReportUse::Late);
   CHECK_TRUE(registry_.Report(At(20000), Report(9)) == ReportUse::Late);
--- a/packages/wire/gen/departures_types.cpp
+++ b/packages/wire/gen/departures_types.cpp
@@ -172,6 +172,11 @@
 void DepartureReport::__set_records(const std::vector<DepartureRecord> & val) {
   this->records = val;
 }
+
+void DepartureReport::__set_memory_ms(const int64_t val) {
+  this->memory_ms = val;
+__isset.memory_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const DepartureReport& obj)
 {
   obj.printTo(out);
@@ -228,6 +233,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->memory_ms);
+          this->__isset.memory_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -261,6 +274,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.memory_ms) {
+    xfer += oprot->writeFieldBegin("memory_ms", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->memory_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -270,28 +288,33 @@
   using ::std::swap;
   swap(a.owner, b.owner);
   swap(a.records, b.records);
+  swap(a.memory_ms, b.memory_ms);
   swap(a.__isset, b.__isset);
 }
 
 DepartureReport::DepartureReport(const DepartureReport& other10) {
   owner = other10.owner;
   records = other10.records;
+  memory_ms = other10.memory_ms;
   __isset = other10.__isset;
 }
 DepartureReport::DepartureReport(DepartureReport&& other11) noexcept {
   owner = std::move(other11.owner);
   records = std::move(other11.records);
+  memory_ms = other11.memory_ms;
   __isset = other11.__isset;
 }
 DepartureReport& DepartureReport::operator=(const DepartureReport& other12) {
   owner = other12.owner;
   records = other12.records;
+  memory_ms = other12.memory_ms;
   __isset = other12.__isset;
   return *this;
 }
 DepartureReport& DepartureReport::operator=(DepartureReport&& other13) noexcept {
   owner = std::move(other13.owner);
   records = std::move(other13.records);
+  memory_ms = other13.memory_ms;
   __isset = other13.__isset;
   return *this;
 }
@@ -300,6 +323,7 @@
   out << "DepartureReport(";
   out << "owner=" << to_string(owner);
   out << ", " << "records=" << to_string(records);
+  out << ", " << "memory_ms="; (__isset.memory_ms ? (out << to_string(memory_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/departures_types.h
+++ b/packages/wire/gen/departures_types.h
@@ -87,9 +87,10 @@
 std::ostream& operator<<(std::ostream& out, const DepartureRecord& obj);
 
 typedef struct _DepartureReport__isset {
-  _DepartureReport__isset() : owner(false), records(false) {}
+  _DepartureReport__isset() : owner(false), records(false), memory_ms(false) {}
   bool owner :1;
   bool records :1;
+  bool memory_ms :1;
 } _DepartureReport__isset;
 
 class DepartureReport : public virtual ::apache::thrift::TBase {
@@ -100,12 +101,14 @@
   DepartureReport& operator=(const DepartureReport&);
   DepartureReport& operator=(DepartureReport&&) noexcept;
   DepartureReport() noexcept
-                  : owner() {
+                  : owner(),
+                    memory_ms(0) {
   }
 
   virtual ~DepartureReport() noexcept;
   std::string owner;
   std::vector<DepartureRecord>  records;
+  int64_t memory_ms;
 
   _DepartureReport__isset __isset;
 
@@ -113,12 +116,18 @@
 
   void __set_records(const std::vector<DepartureRecord> & val);
 
+  void __set_memory_ms(const int64_t val);
+
   bool operator == (const DepartureReport & rhs) const
   {
     if (!(owner == rhs.owner))
       return false;
     if (!(records == rhs.records))
       return false;
+    if (__isset.memory_ms != rhs.__isset.memory_ms)
+      return false;
+    else if (__isset.memory_ms && !(memory_ms == rhs.memory_ms))
+      return false;
     return true;
   }
   bool operator != (const DepartureReport &rhs) const {
--- a/packages/wire/idl/departures.thrift
+++ b/packages/wire/idl/departures.thrift
@@ -12,4 +12,6 @@
 struct DepartureReport {
   1: string owner
   2: list<DepartureRecord> records
+  // How long the sender has been keeping departures; absent in a question.
+  3: optional i64 memory_ms
 }
--- a/packages/wire/src/DepartureCodec.cpp
+++ b/packages/wire/src/DepartureCodec.cpp
@@ -20,6 +20,9 @@
     one.age_ms = record.age_.count();
     out.records.push_back(std::move(one));
   }
+  if (aReport.memory_.count() > 0) {
+    out.__set_memory_ms(aReport.memory_.count());
+  }
   return EncodeThrift(out);
 }
 
@@ -30,10 +33,13 @@
   if (!report) {
     return report.Error();
   }
-  if (report->owner.empty() || report->records.size() > decisions::DepartureBook::kMostRecords) {
+  if (report->owner.empty() || report->records.size() > decisions::DepartureBook::kMostRecords ||
+      report->memory_ms < 0) {
     return DecodeError{ "a departure report is out of range" };
   }
-  decisions::DepartureReport out{ model::DaemonId(report->owner), {} };
+  decisions::DepartureReport out{ model::DaemonId(report->owner),
+                                  {},
+                                  milliseconds(report->memory_ms) };
   // A greater age has no meaning and would overflow the clock's count of nanoseconds.
   constexpr std::chrono::milliseconds kMostAge = std::chrono::hours(24 * 365);
   for (const gen::DepartureRecord& record : report->records) {
