Bound the daemon's own calls by their time-out as a whole

A faulty peer can send bytes without end that are no answer. Callers' requests were bounded, the daemon's own calls (health checks, the log, other daemons) only in part: a body that comes byte by byte held a call until its limit of 16 or 32 MiB, interim responses were read until the time-out, and what a call kept was large for an instance of 110 MB.

Cause: Fetch gave each read the whole time-out anew, and the limits were chosen above anything valid.

--- a/packages/daemon/src/ControlTransport.cpp
+++ b/packages/daemon/src/ControlTransport.cpp
@@ -11,7 +11,8 @@
 
 constexpr std::size_t kIdleConnections = 1;
 constexpr std::chrono::milliseconds kIdleTime{ 5000 };
-constexpr std::size_t kCallBytes = 32ULL * 1024 * 1024;
+/// Configurations and member tables are smaller; an address that is no daemon's may send any bytes.
+constexpr std::size_t kCallBytes = 8ULL * 1024 * 1024;
 /// Headers of IP and UDP.
 constexpr std::uint64_t kDatagramHeaderBytes = 28;
 /// Headers of an HTTP request and response between daemons, as the serving side counts them.
--- a/packages/daemon/tests/EndlessResponseTest.cpp
+++ b/packages/daemon/tests/EndlessResponseTest.cpp
@@ -2,19 +2,20 @@
 
 #include "impl/HeldBody.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
+#include <algorithm>
 
+#include "EndlessServer.h"
 #include "TestLoop.h"
 
-#include <thread>
+#include <boost/fiber/operations.hpp>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace hemlockproxy;
 using namespace hemlockproxy::daemon;
 using model::RequestOutcome;
+using runtime::test::EndlessForm;
+using runtime::test::EndlessServer;
 using std::chrono::milliseconds;
 
 namespace {
@@ -22,45 +23,8 @@
 constexpr milliseconds kDeadline{ 300 };
 /// Until an exchange has ended after its deadline.
 constexpr milliseconds kMargin{ 500 };
-
-/// A faulty server: answers its one request with a text, and then with another one without end
-/// until the caller closes the connection.
-class EndlessServer
-{
-public:
-  EndlessServer(std::string aStart, std::string aRepeated)
-    : acceptor_(io_, { boost::asio::ip::make_address("127.0.0.1"), 0 })
-    , address_{ "127.0.0.1", acceptor_.local_endpoint().port() }
-    , thread_([this, start = std::move(aStart), repeated = std::move(aRepeated)] {
-      Serve(start, repeated);
-    })
-  {
-  }
-  ~EndlessServer() { thread_.join(); }
-  EndlessServer(const EndlessServer&) = delete;
-  EndlessServer& operator=(const EndlessServer&) = delete;
-
-  [[nodiscard]] const model::Address& Address() const noexcept { return address_; }
-
-private:
-  void Serve(const std::string& aStart, const std::string& aRepeated)
-  {
-    namespace asio = boost::asio;
-    auto socket = acceptor_.accept();
-    std::string request;
-    boost::system::error_code error;
-    asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
-    asio::write(socket, asio::buffer(aStart), error);
-    while (!error) {
-      asio::write(socket, asio::buffer(aRepeated), error);
-    }
-  }
-
-  boost::asio::io_context io_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  model::Address address_;
-  std::thread thread_;
-};
+/// What the system takes on both sides of a connection whose bytes are not read.
+constexpr std::size_t kSystemBuffers = 12UL * 1024 * 1024;
 
 /// Takes each response for a rejection.
 class RejectionDialect final : public Dialect
@@ -83,6 +47,17 @@
   [[nodiscard]] std::string RetryAfter(milliseconds /*aTime*/) const override { return {}; }
 };
 
+/// A body of a request that a caller sends for ever, as fast as it is taken.
+class EndlessUpload final : public runtime::BodySource
+{
+public:
+  [[nodiscard]] runtime::HttpResult<std::size_t> Read(char* aBuffer, std::size_t aSize) override
+  {
+    std::fill_n(aBuffer, aSize, 'u');
+    return aSize;
+  }
+};
+
 struct Outcome
 {
   UpstreamReply reply_;
@@ -92,20 +67,33 @@
   model::Duration took_{};
 };
 
-/// Sends a request and reads its response to the end.
-Outcome Ask(const model::Address& aAddress, const Dialect* aDialect = nullptr)
+/// Sends a request and reads its response to the end; aReads is false for a caller that reads
+/// nothing of the body.
+Outcome Ask(const model::Address& aAddress,
+            const Dialect* aDialect = nullptr,
+            runtime::http::verb aMethod = runtime::http::verb::get,
+            runtime::BodySource* aUpload = nullptr,
+            bool aReads = true)
 {
   Outcome outcome;
   runtime::RunInLoop([&](const runtime::IoContextPtr& aIo) {
     runtime::HttpConnectionPool pool(aIo, 1, milliseconds(1000));
     UpstreamRequest request;
-    request.header_ = runtime::MakeRequest(runtime::http::verb::get, "/", aAddress);
+    request.header_ = runtime::MakeRequest(aMethod, "/", aAddress);
+    if (aUpload != nullptr) {
+      request.header_.set(runtime::http::field::transfer_encoding, "chunked");
+      request.rest_ = aUpload;
+    }
     const auto started = std::chrono::steady_clock::now();
     request.deadline_ = started + kDeadline;
+    request.bodyDeadline_ = request.deadline_;
     ExchangeOptions options;
     options.dialect_ = aDialect;
     outcome.reply_ = RunExchange(pool, aAddress, request, options);
     std::string part(runtime::kBodyPartBytes, '\0');
+    if (!aReads) {
+      boost::this_fiber::sleep_for(kDeadline);
+    }
     while (outcome.reply_.body_) {
       const auto read = outcome.reply_.body_->Read(part.data(), part.size());
       outcome.bodyFailed_ = !read;
@@ -160,3 +148,41 @@
   CHECK_TRUE(outcome.reply_.outcome_ == RequestOutcome::NotRun);
   CHECK_TRUE(outcome.took_ < kDeadline + kMargin);
 }
+
+// Guards against an exchange that goes on beyond its caller's deadline, whatever never ends and
+// however its caller asks.
+TEST(EndlessResponse, EndsWithTheRequestInEachForm)
+{
+  using runtime::http::verb;
+  for (const verb method : { verb::get, verb::head, verb::post }) {
+    for (const EndlessForm& form : runtime::test::EndlessForms()) {
+      const EndlessServer server(form.start_, form.repeated_);
+      CHECK_TRUE_TEXT(Ask(server.Address(), nullptr, method).took_ < kDeadline + kMargin,
+                      form.name_);
+    }
+  }
+}
+
+// Guards against bytes that are kept for a caller that does not read them.
+TEST(EndlessResponse, KeepsNothingForACallerThatDoesNotRead)
+{
+  for (const EndlessForm& form : runtime::test::EndlessForms()) {
+    const EndlessServer server(form.start_, form.repeated_);
+    const Outcome outcome =
+      Ask(server.Address(), nullptr, runtime::http::verb::get, nullptr, false);
+    CHECK_TRUE_TEXT(outcome.took_ < 2 * kDeadline + kMargin, form.name_);
+    CHECK_TRUE_TEXT(server.Sent() < kSystemBuffers, form.name_);
+  }
+}
+
+// Guards against an exchange in which both sides send without end and nobody reads.
+TEST(EndlessResponse, EndsWhileTheRequestIsStillSent)
+{
+  for (const EndlessForm& form : runtime::test::EndlessForms()) {
+    const EndlessServer server(form.start_, form.repeated_);
+    EndlessUpload upload;
+    const Outcome outcome = Ask(server.Address(), nullptr, runtime::http::verb::post, &upload);
+    CHECK_TRUE_TEXT(outcome.took_ < kDeadline + kMargin, form.name_);
+    CHECK_TRUE_TEXT(server.Sent() < kSystemBuffers, form.name_);
+  }
+}
--- a/packages/runtime/include/hemlockproxy/runtime/HttpClient.h
+++ b/packages/runtime/include/hemlockproxy/runtime/HttpClient.h
@@ -127,7 +127,7 @@
 };
 
 /// Sends a request with a body held in memory and reads the whole response; the body is bounded by
-/// aBodyLimit bytes.
+/// aBodyLimit bytes, and the whole call by aTimeout: a faulty peer may send bytes without end.
 [[nodiscard]] HttpResult<HttpResponse> Fetch(HttpConnectionPool& aPool,
                                              const model::Address& aAddress,
                                              RequestHeader aHeader,
--- a/packages/runtime/src/HttpClient.cpp
+++ b/packages/runtime/src/HttpClient.cpp
@@ -22,6 +22,9 @@
 
 constexpr std::uint32_t kMostHeadBytes = 64 * 1024;
 constexpr std::size_t kHeadReadBytes = 4096;
+constexpr unsigned kLowestFinalStatus = 200;
+/// A faulty peer may send interim responses without end.
+constexpr std::size_t kMostInterimResponses = 32;
 
 /// Returns whether the peer has closed its side of the connection, or reset it.
 bool PeerHasClosed(int aSocket) noexcept
@@ -159,6 +162,11 @@
     bytes_ += *length;
     body_.Start(*parser_);
     ResponseHeader header = parser_->get().base();
+    if (header.result_int() < kLowestFinalStatus && ++interim_ > kMostInterimResponses) {
+      return HttpError{ HttpErrorKind::Malformed,
+                        "more than " + std::to_string(kMostInterimResponses) +
+                          " interim responses" };
+    }
     if (header.count(http::field::content_length) > 1) {
       // The values are equal; a reader further on may not take them for one.
       const std::string value(header[http::field::content_length]);
@@ -275,6 +283,7 @@
     sendFailed_ = false;
     closedEarly_ = false;
     anySent_ = false;
+    interim_ = 0;
     parser_.reset();
     serializer_.reset();
     request_.emplace(std::move(aHeader));
@@ -312,6 +321,8 @@
   /// The peer closed its side before the request was sent whole.
   bool closedEarly_ = false;
   bool anySent_ = false;
+  /// Of the current exchange.
+  std::size_t interim_ = 0;
 };
 
 } // namespace
@@ -423,20 +434,24 @@
 
 namespace {
 
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/// Returns the time until the end of a call, rounded up; 0 or less when it is over.
+std::chrono::milliseconds TimeLeft(SteadyTime aEnd)
+{
+  return std::chrono::ceil<std::chrono::milliseconds>(aEnd - std::chrono::steady_clock::now());
+}
+
 /// Reads the header of the final response; the peer may send interim ones until the time is over.
-HttpResult<ResponseHeader> ReadFinalHeader(HttpConnection& aConnection,
-                                           std::chrono::milliseconds aTimeout)
+HttpResult<ResponseHeader> ReadFinalHeader(HttpConnection& aConnection, SteadyTime aEnd)
 {
-  constexpr unsigned kLowestFinal = 200;
-  const auto end = std::chrono::steady_clock::now() + aTimeout;
   while (true) {
-    const auto left =
-      std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+    const auto left = TimeLeft(aEnd);
     if (left.count() <= 0) {
       return HttpError{ HttpErrorKind::TimedOut, "no final response within the time limit" };
     }
     auto header = aConnection.ReadHeader(left);
-    if (!header || header->result_int() >= kLowestFinal) {
+    if (!header || header->result_int() >= kLowestFinalStatus) {
       return header;
     }
   }
@@ -451,22 +466,29 @@
                                std::chrono::milliseconds aTimeout,
                                std::size_t aBodyLimit)
 {
+  const auto end = std::chrono::steady_clock::now() + aTimeout;
   auto acquired = aPool.Acquire(aAddress, aTimeout);
   if (!acquired) {
     return acquired.Error();
   }
   HttpConnectionPtr connection = *std::move(acquired);
-  if (auto sent = connection->Send(std::move(aHeader), aBody, aTimeout); !sent) {
+  if (auto sent = connection->Send(
+        std::move(aHeader), aBody, std::max(TimeLeft(end), std::chrono::milliseconds(1)));
+      !sent) {
     return sent.Error();
   }
-  auto header = ReadFinalHeader(*connection, aTimeout);
+  auto header = ReadFinalHeader(*connection, end);
   if (!header) {
     return header.Error();
   }
   HttpResponse response{ *std::move(header), {} };
-  connection->SetStallTimeout(aTimeout);
   std::string part(kBodyPartBytes, '\0');
   while (true) {
+    const auto left = TimeLeft(end);
+    if (left.count() <= 0) {
+      return HttpError{ HttpErrorKind::TimedOut, "the response did not end within the time limit" };
+    }
+    connection->SetStallTimeout(left);
     auto read = connection->Read(part.data(), part.size());
     if (!read) {
       return read.Error();
--- a/packages/testing/src/backend/BackendService.cpp
+++ b/packages/testing/src/backend/BackendService.cpp
@@ -217,9 +217,8 @@
     Handler handler_;
   };
   static constexpr Route kRoutes[] = {
-    { "/bytes/", &BackendService::SendBytes },
-    { "/stream/", &BackendService::SendStream },
-    { "/echo", &BackendService::SendEcho },
+    { "/bytes/", &BackendService::SendBytes }, { "/stream/", &BackendService::SendStream },
+    { "/echo", &BackendService::SendEcho },    { "/endless", &BackendService::SendEndless },
     { "", &BackendService::SendSummary },
   };
   const Route& route =
@@ -336,6 +335,26 @@
   return Finish(aJob, std::move(response), aConnection);
 }
 
+bool BackendService::SendEndless(const Job& aJob, HttpConnection& aConnection)
+{
+  const Target target = ParseTarget(TargetText(aJob.request_));
+  const auto textOf = [&target](const char* aName) {
+    const auto found = target.parameters_.find(aName);
+    return found == target.parameters_.end() ? std::string() : found->second;
+  };
+  const std::string repeated = textOf("repeated");
+  std::string part;
+  while (!repeated.empty() && part.size() < kChunkBytes) {
+    part += repeated;
+  }
+  bool taken = aConnection.SendRaw(textOf("start"));
+  while (taken && !part.empty()) {
+    taken = aConnection.SendRaw(part);
+  }
+  gate_.CountCancelled();
+  return false;
+}
+
 bool BackendService::SendSummary(const Job& aJob, HttpConnection& aConnection)
 {
   const boost::beast::string_view method = aJob.request_.method_string();
--- a/packages/testing/src/backend/BackendService.h
+++ b/packages/testing/src/backend/BackendService.h
@@ -36,6 +36,8 @@
   bool SendBytes(const Job& aJob, HttpConnection& aConnection);
   bool SendStream(const Job& aJob, HttpConnection& aConnection);
   bool SendEcho(const Job& aJob, HttpConnection& aConnection);
+  /// Sends bytes that are no answer until the caller closes the connection.
+  bool SendEndless(const Job& aJob, HttpConnection& aConnection);
   bool SendSummary(const Job& aJob, HttpConnection& aConnection);
   bool Finish(const Job& aJob, HttpResponse aResponse, HttpConnection& aConnection);
   void SetCommonHeaders(const Job& aJob, http::response_header<>& aHeader);
