Await a request body until the request's time-out only

Cause: the caller's side of an exchange was bounded by the stall time-out alone, which each byte begins anew.

Change: HttpExchange::SetBodyDeadline, set by entry and owner to the request's deadline. The read is cancelled, so that the caller gets its answer: 408 caller-slow where nothing was passed on, which promises that it has not run, else 504. Why it works: no read of a body outlasts the deadline, whoever is slow.

--- a/packages/daemon/src/Delivery.cpp
+++ b/packages/daemon/src/Delivery.cpp
@@ -22,7 +22,7 @@
 
 /// Statuses of reasons that differ from the outcome's usual one. A status that says that a request
 /// has not run stands for that outcome only.
-constexpr std::array<ReasonStatus, 13> kReasonStatuses = { {
+constexpr std::array<ReasonStatus, 15> kReasonStatuses = { {
   { RequestOutcome::NotRun, RefusalReason::NoRoute, http::status::not_found },
   { RequestOutcome::NotRun, RefusalReason::RateLimited, http::status::too_many_requests },
   { RequestOutcome::NotRun, RefusalReason::AllowanceUsed, http::status::too_many_requests },
@@ -34,6 +34,8 @@
   { RequestOutcome::NotRun, RefusalReason::MalformedBody, http::status::bad_request },
   { RequestOutcome::Unknown, RefusalReason::MalformedBody, http::status::bad_request },
   { RequestOutcome::NotRun, RefusalReason::CallerFailed, http::status::bad_request },
+  { RequestOutcome::NotRun, RefusalReason::CallerSlow, http::status::request_timeout },
+  { RequestOutcome::Unknown, RefusalReason::CallerSlow, http::status::gateway_timeout },
   { RequestOutcome::Unknown, RefusalReason::AlreadyClaimed, http::status::conflict },
   { RequestOutcome::Unknown, RefusalReason::UpstreamTimeout, http::status::gateway_timeout },
 } };
@@ -88,6 +90,8 @@
       return RefusalReason::MalformedBody;
     case runtime::HttpErrorKind::BodyTooLarge:
       return RefusalReason::BodyTooLarge;
+    case runtime::HttpErrorKind::TimedOut:
+      return RefusalReason::CallerSlow;
     default:
       return RefusalReason::CallerFailed;
   }
--- a/packages/daemon/src/EntryService.cpp
+++ b/packages/daemon/src/EntryService.cpp
@@ -342,6 +342,7 @@
 
 UpstreamReply EntryService::Run(runtime::HttpExchange& aExchange, Call& aCall)
 {
+  aExchange.SetBodyDeadline(aCall.request_.deadline_);
   if (auto read = impl::ReadPrefix(aExchange, aCall.prefix_, kReplayBytes); !read) {
     return Refused(RequestOutcome::NotRun, impl::ReasonOfBody(read.Error()));
   }
--- a/packages/daemon/src/OwnerService.cpp
+++ b/packages/daemon/src/OwnerService.cpp
@@ -540,6 +540,7 @@
   RemoveHemlockFields(request.header_);
   request.header_.erase(http::field::expect);
 
+  aExchange.SetBodyDeadline(request.deadline_);
   std::string prefix;
   const bool waitsForContinue = received.find(http::field::expect) != received.end();
   if (!waitsForContinue) {
--- a/packages/decisions/src/AttemptResult.cpp
+++ b/packages/decisions/src/AttemptResult.cpp
@@ -10,7 +10,8 @@
                             ResponseKind aResponse) noexcept
 {
   if (aReason == RefusalReason::MalformedBody || aReason == RefusalReason::CallerFailed ||
-      aReason == RefusalReason::BodyTooLarge || aReason == RefusalReason::CallerLeft) {
+      aReason == RefusalReason::CallerSlow || aReason == RefusalReason::BodyTooLarge ||
+      aReason == RefusalReason::CallerLeft) {
     // What the caller does says nothing of the endpoint.
     return AttemptVerdict::Cancelled;
   }
--- a/packages/decisions/src/RetryPolicy.cpp
+++ b/packages/decisions/src/RetryPolicy.cpp
@@ -34,6 +34,7 @@
     case RefusalReason::BodyTooLarge:
     case RefusalReason::MalformedBody:
     case RefusalReason::CallerFailed:
+    case RefusalReason::CallerSlow:
     case RefusalReason::CallerLeft:
       return true;
     default:
--- a/packages/decisions/tests/OutlierEjectionTest.cpp
+++ b/packages/decisions/tests/OutlierEjectionTest.cpp
@@ -134,8 +134,10 @@
 // Guards against an endpoint that is blamed for request bodies that callers never complete.
 TEST(OutlierEjection, TheCallersFaultsDoNotCount)
 {
-  for (const RefusalReason reason :
-       { RefusalReason::MalformedBody, RefusalReason::CallerFailed, RefusalReason::BodyTooLarge }) {
+  for (const RefusalReason reason : { RefusalReason::MalformedBody,
+                                      RefusalReason::CallerFailed,
+                                      RefusalReason::CallerSlow,
+                                      RefusalReason::BodyTooLarge }) {
     for (const RequestOutcome outcome : { RequestOutcome::NotRun, RequestOutcome::Unknown }) {
       CHECK_TRUE(AttemptVerdict::Cancelled == JudgeAttempt(outcome, reason, ResponseKind::Normal));
     }
--- a/packages/model/include/hemlockproxy/model/RequestOutcome.h
+++ b/packages/model/include/hemlockproxy/model/RequestOutcome.h
@@ -44,8 +44,10 @@
   OtherBackend,
   /// The request's body is not valid HTTP.
   MalformedBody,
-  /// The caller's connection broke or stalled while the body was read.
+  /// The caller's connection broke while the body was read.
   CallerFailed,
+  /// The caller did not send the body in time.
+  CallerSlow,
   /// The caller closed its connection before its request was passed on.
   CallerLeft,
   /// The request carries no key, or none that the configuration lists.
--- a/packages/model/src/RequestOutcome.cpp
+++ b/packages/model/src/RequestOutcome.cpp
@@ -49,6 +49,8 @@
       return "malformed-body";
     case RefusalReason::CallerFailed:
       return "caller-failed";
+    case RefusalReason::CallerSlow:
+      return "caller-slow";
     case RefusalReason::CallerLeft:
       return "caller-left";
     case RefusalReason::UnknownKey:
--- a/packages/runtime/include/hemlockproxy/runtime/HttpServer.h
+++ b/packages/runtime/include/hemlockproxy/runtime/HttpServer.h
@@ -45,6 +45,9 @@
   /// Returns the length of the request body, or nothing when it is chunked.
   [[nodiscard]] virtual std::optional<std::uint64_t> BodyLength() const = 0;
   [[nodiscard]] virtual bool BodyDone() const noexcept = 0;
+  /// Sets until when the request body is awaited, however its parts come; Read fails with TimedOut
+  /// then.
+  virtual void SetBodyDeadline(std::chrono::steady_clock::time_point aDeadline) = 0;
 
   /// Sends "100 Continue" if the caller expects it and it was not sent yet. Read sends it by
   /// itself.
--- a/packages/runtime/src/impl/PipelinedExchange.h
+++ b/packages/runtime/src/impl/PipelinedExchange.h
@@ -32,6 +32,7 @@
   }
   [[nodiscard]] std::optional<std::uint64_t> BodyLength() const override { return 0; }
   [[nodiscard]] bool BodyDone() const noexcept override { return true; }
+  void SetBodyDeadline(std::chrono::steady_clock::time_point /*aDeadline*/) override {}
   HttpResult<model::Unit> SendContinue() override { return model::Unit{}; }
   [[nodiscard]] HttpResult<std::size_t> Read(char* /*aBuffer*/, std::size_t /*aSize*/) override
   {
--- a/packages/runtime/src/impl/ServerConnection.h
+++ b/packages/runtime/src/impl/ServerConnection.h
@@ -135,6 +135,11 @@
 
   [[nodiscard]] bool BodyDone() const noexcept override { return body_.Done(*parser_); }
 
+  void SetBodyDeadline(std::chrono::steady_clock::time_point aDeadline) override
+  {
+    bodyDeadline_ = aDeadline;
+  }
+
   HttpResult<model::Unit> SendContinue() override
   {
     if (!expectsContinue_) {
@@ -159,8 +164,7 @@
     if (auto sent = SendContinue(); !sent) {
       return sent.Error();
     }
-    auto read =
-      body_.Read(stream_, buffer_, *parser_, aBuffer, aSize, shared_->options_.stallTimeout_);
+    auto read = ReadBody(aBuffer, aSize);
     WatchCaller();
     return read;
   }
@@ -262,6 +266,31 @@
     CloseGracefully();
   }
 
+  /// Reads the next part of the body, until the deadline of the body.
+  HttpResult<std::size_t> ReadBody(char* aBuffer, std::size_t aSize)
+  {
+    const auto stall = shared_->options_.stallTimeout_;
+    if (!bodyDeadline_) {
+      return body_.Read(stream_, buffer_, *parser_, aBuffer, aSize, stall);
+    }
+    const HttpError late{ HttpErrorKind::TimedOut, "the request body did not end in time" };
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      *bodyDeadline_ - std::chrono::steady_clock::now());
+    if (left.count() <= 0) {
+      return late;
+    }
+    boost::system::error_code ignored;
+    if (buffer_.size() > 0 || stream_.socket().available(ignored) > 0) {
+      return body_.Read(stream_, buffer_, *parser_, aBuffer, aSize, std::min(stall, left));
+    }
+    const ReadCancel cancel(stream_, left);
+    auto read = body_.Read(stream_, buffer_, *parser_, aBuffer, aSize, stall);
+    if (!read && cancel.Done() && !aborted_) {
+      return late;
+    }
+    return read;
+  }
+
   [[nodiscard]] bool KeepsOpen() const noexcept
   {
     return keepAlive_ && !aborted_ && !callerClosed_;
@@ -481,6 +510,7 @@
     }
     body_.Start(*parser_);
     pipelines_ = parser_->get().keep_alive();
+    bodyDeadline_.reset();
     expectsContinue_ = boost::beast::iequals(Request()[http::field::expect], "100-continue");
     return true;
   }
@@ -589,21 +619,43 @@
     return false;
   }
 
-  /// Waits for a header that came in part. The timer only cancels the read: the stream's own
-  /// timeout closes the socket, after which the caller could not be told.
+  /// Cancels a read of the stream after a time. The stream's own timeout closes the socket, after
+  /// which the caller could not be told.
+  class ReadCancel
+  {
+  public:
+    ReadCancel(TcpStream& aStream, std::chrono::milliseconds aTime)
+      : timer_(aStream.get_executor(), aTime)
+    {
+      timer_.async_wait([this, &aStream](const boost::system::error_code& aError) {
+        if (!aError) {
+          done_ = true;
+          aStream.cancel();
+        }
+        ended_.set_value();
+      });
+    }
+    ~ReadCancel()
+    {
+      timer_.cancel();
+      ended_.get_future().wait();
+    }
+    ReadCancel(const ReadCancel&) = delete;
+    ReadCancel& operator=(const ReadCancel&) = delete;
+
+    [[nodiscard]] bool Done() const noexcept { return done_; }
+
+  private:
+    Timer timer_;
+    bool done_ = false;
+    boost::fibers::promise<void> ended_;
+  };
+
+  /// Waits for a header that came in part.
   std::optional<HttpError> ReadRestOfHeader()
   {
-    bool timedOut = false;
-    Timer timer(stream_.get_executor(), shared_->options_.headerTimeout_);
     stream_.expires_never();
-    boost::fibers::promise<void> timerEnded;
-    timer.async_wait([&](const boost::system::error_code& aError) {
-      if (!aError) {
-        timedOut = true;
-        stream_.cancel();
-      }
-      timerEnded.set_value();
-    });
+    const ReadCancel cancel(stream_, shared_->options_.headerTimeout_);
     std::optional<HttpError> failed;
     std::size_t searched = 0;
     while (!failed) {
@@ -618,7 +670,7 @@
           stream_.async_read_some(buffer_.prepare(kHeadReadBytes), std::move(aHandler));
         });
         buffer_.commit(done.bytes_);
-        if (timedOut && !aborted_) {
+        if (cancel.Done() && !aborted_) {
           failed =
             HttpError{ HttpErrorKind::TimedOut, "the request header did not arrive in time" };
         } else if (done.error_) {
@@ -627,8 +679,6 @@
         }
       }
     }
-    timer.cancel();
-    timerEnded.get_future().wait();
     return failed;
   }
 
@@ -791,6 +841,8 @@
   /// Later requests of this connection may be handled before their turn.
   bool pipelines_ = false;
   bool expectsContinue_ = false;
+  /// Until when the body of the current request is awaited; nothing without a limit.
+  std::optional<std::chrono::steady_clock::time_point> bodyDeadline_;
   bool noBody_ = false;
   bool keepAlive_ = false;
   bool closeAfterResponse_ = false;
