Choose holders of departures at the pace of questions

After the first answers a starting daemon chose holders anew at each tick, for up to 10 s, which costs time by the number of members. It now does so each 500 ms.

--- a/packages/daemon/src/PeerMemory.cpp
+++ b/packages/daemon/src/PeerMemory.cpp
@@ -123,6 +123,8 @@
   auto peers = Holders(kOwnHolders + kMoreAsked, kHoldersElsewhere + 1);
   std::erase_if(peers, [this](const model::Address& aPeer) { return heard_.contains(aPeer); });
   if (peers.empty()) {
+    // The first question does not wait; choosing holders costs time by the number of members.
+    nextAsk_ = heard_.empty() ? nextAsk_ : aNow + kAskAgain;
     return;
   }
   asking_ = true;
